Two VMs read the store, the others follow them

Two VMs of different data centres now read it, chosen by rank over the membership; the others follow both over TCP on the internal port, in two lanes, so that the loss of one costs no pause.

--- a/modules/fetcher/fetcher.go
+++ b/modules/fetcher/fetcher.go
@@ -57,28 +57,38 @@
 // Do sends method and path with the JSON form of in (nil for no body) and decodes
 // the reply body into out (nil to drop it). It returns the HTTP status code.
 func (c *Client) Do(method, path string, in, out any, deadline time.Time) (int, error) {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return 0, oops.Wrapf(err, "encode request")
+		}
+	}
+	code, reply, err := c.Raw(method, path, "application/json", body, deadline)
+	if err != nil || out == nil || code == fasthttp.StatusNoContent {
+		return code, err
+	}
+	if err := json.Unmarshal(reply, out); err != nil {
+		return code, oops.Wrapf(err, "decode reply of %s %s", method, path)
+	}
+	return code, nil
+}
+
+// Raw sends method and path with a body of the given type (nil for no body). It returns the
+// HTTP status code and the reply body.
+func (c *Client) Raw(method, path, contentType string, body []byte, deadline time.Time) (int, []byte, error) {
 	r := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(r)
 	w := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(w)
 	r.Header.SetMethod(method)
 	r.SetRequestURI("http://" + c.hc.Addr + path)
-	if in != nil {
-		body, err := json.Marshal(in)
-		if err != nil {
-			return 0, oops.Wrapf(err, "encode request")
-		}
-		r.Header.SetContentType("application/json")
+	if body != nil {
+		r.Header.SetContentType(contentType)
 		r.SetBodyRaw(body)
 	}
 	if err := c.hc.DoDeadline(r, w, deadline); err != nil {
-		return 0, oops.Wrapf(err, "%s %s", method, path)
-	}
-	if out == nil || w.StatusCode() == fasthttp.StatusNoContent {
-		return w.StatusCode(), nil
-	}
-	if err := json.Unmarshal(w.Body(), out); err != nil {
-		return w.StatusCode(), oops.Wrapf(err, "decode reply of %s %s", method, path)
+		return 0, nil, oops.Wrapf(err, "%s %s", method, path)
 	}
-	return w.StatusCode(), nil
+	return w.StatusCode(), append([]byte(nil), w.Body()...), nil
 }
--- a/services/gossiper/sealer.go
+++ b/modules/sealer/sealer.go
@@ -1,4 +1,5 @@
-package gossiper
+// Package sealer encrypts and authenticates messages between VMs with shared keys.
+package sealer
 
 import (
 	"crypto/cipher"
@@ -9,39 +10,42 @@
 	"golang.org/x/crypto/chacha20poly1305"
 )
 
-// errSealed says that a datagram is not authentic.
-var errSealed = errors.New("datagram not authentic")
+// ErrForged says that a message is not authentic.
+var ErrForged = errors.New("message not authentic")
 
-// sealer encrypts datagrams with XChaCha20-Poly1305 and a random nonce.
-type sealer struct {
+// Sealer encrypts messages with XChaCha20-Poly1305 and a random nonce.
+type Sealer struct {
 	// aeads are the accepted keys; the first one seals.
 	aeads []cipher.AEAD
 }
 
-func newSealer(keys [][]byte) (*sealer, error) {
-	s := &sealer{}
+// New returns a Sealer of 32-byte keys: the first one seals, all of them open.
+func New(keys [][]byte) (*Sealer, error) {
+	s := &Sealer{}
 	for _, k := range keys {
 		a, err := chacha20poly1305.NewX(k)
 		if err != nil {
-			return nil, oops.Wrapf(err, "membership key")
+			return nil, oops.Wrapf(err, "key")
 		}
 		s.aeads = append(s.aeads, a)
 	}
 	if len(s.aeads) == 0 {
-		return nil, oops.Errorf("no membership key")
+		return nil, oops.Errorf("no key")
 	}
 	return s, nil
 }
 
-func (s *sealer) seal(plain []byte) []byte {
+// Seal returns the message in encrypted form.
+func (s *Sealer) Seal(plain []byte) []byte {
 	out := make([]byte, chacha20poly1305.NonceSizeX, chacha20poly1305.NonceSizeX+len(plain)+chacha20poly1305.Overhead)
 	_, _ = rand.Read(out)
 	return s.aeads[0].Seal(out, out, plain, nil)
 }
 
-func (s *sealer) open(sealed []byte) ([]byte, error) {
+// Open returns the message that was sealed. Errors match ErrForged.
+func (s *Sealer) Open(sealed []byte) ([]byte, error) {
 	if len(sealed) < chacha20poly1305.NonceSizeX+chacha20poly1305.Overhead {
-		return nil, errSealed
+		return nil, ErrForged
 	}
 	nonce, body := sealed[:chacha20poly1305.NonceSizeX], sealed[chacha20poly1305.NonceSizeX:]
 	for _, a := range s.aeads {
@@ -49,5 +53,5 @@
 			return plain, nil
 		}
 	}
-	return nil, errSealed
+	return nil, ErrForged
 }
--- a/services/follower/run.go
+++ b/services/follower/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -10,51 +12,195 @@
 )
 
 const (
-	// watchWait is the time for which one watch waits for a change. Silence of the connection
-	// is found sooner, by its keep-alive probes.
-	watchWait = 10 * time.Second
-	// firstRetry and lastRetry are the pauses after a failed read; they double.
+	// storeWait is the time for which one watch of the store waits for a change. It bounds
+	// how old a healthy copy may look to others.
+	storeWait = 2500 * time.Millisecond
+	// relayWait is the same for another VM, whose silence is found that fast.
+	relayWait = time.Second
+	// staleAfter is the age above which a copy may have missed changes: a watch of the store
+	// and its slack have passed without a word.
+	staleAfter = 4 * time.Second
+	// avoidFor is the time for which a source that failed is not asked again while there is
+	// another one.
+	avoidFor = time.Second
+	// firstRetry and lastRetry are the pauses while all sources fail; they double.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 800 * time.Millisecond
+	// firstTimeout limits the first reads of a VM that knows nothing.
+	firstTimeout = 1500 * time.Millisecond
+	// homesickAfter is the time after which a VM looks whether a preferred source is back.
+	homesickAfter = 2 * time.Second
+	// settleTime is the time for which a VM that has just read a snapshot waits to hear of the
+	// other VMs before it chooses whom to follow.
+	settleTime = time.Second
+	// gatherTime is the pause after a watch of the store that found changes, so that the next
+	// one returns several at once.
+	gatherTime = 200 * time.Millisecond
 )
 
-// Follow keeps the beliefs up to date from source until ctx ends.
-func (f *Follower) Follow(ctx context.Context, source replicator.Source) {
+// errPreferred says that a source was left for a preferred one.
+var errPreferred = errors.New("preferred source available")
+
+// errStale says that a VM has not heard of the store for too long.
+var errStale = errors.New("source has no fresh data")
+
+// Named is a source with its name.
+type Named struct {
+	Name string
+	// Store is true for the store itself, whose calls are paid for.
+	Store  bool
+	Source replicator.Source
+}
+
+// Guide says whom to follow.
+type Guide interface {
+	// Sources returns the sources for a lane, the preferred one first. A store that is not
+	// the first one is only asked when the others have no fresh data.
+	Sources(lane int) []Named
+}
+
+// lane follows one source at a time. Several lanes together survive the loss of a source
+// without a pause.
+type lane struct {
+	f     *Follower
+	index int
+	guide Guide
+	// failed holds the time of the last failure of each source.
+	failed map[string]time.Time
+	pause  time.Duration
+}
+
+// Follow keeps the beliefs up to date over the given number of lanes until ctx ends.
+func (f *Follower) Follow(ctx context.Context, lanes int, guide Guide) {
+	f.first(ctx, guide)
+	sleep(ctx, settleTime)
+	var wg sync.WaitGroup
+	for i := range lanes {
+		l := &lane{f: f, index: i, guide: guide, failed: make(map[string]time.Time), pause: firstRetry}
+		wg.Go(func() { l.run(ctx) })
+	}
+	wg.Wait()
+}
+
+// first reads a snapshot from whichever source answers first, until one does.
+func (f *Follower) first(ctx context.Context, guide Guide) {
 	pause := firstRetry
+	for ctx.Err() == nil && f.Copy.Revision() == 0 {
+		sources := guide.Sources(0)
+		done := make(chan bool, len(sources))
+		try, stop := context.WithTimeout(ctx, firstTimeout)
+		for _, s := range sources {
+			go func() { done <- f.snapshot(try, s) == nil }()
+		}
+		got := false
+		for range sources {
+			if got = <-done; got {
+				break
+			}
+		}
+		stop()
+		if !got {
+			sleep(ctx, pause)
+			pause = min(2*pause, lastRetry)
+		}
+	}
+}
+
+func (f *Follower) snapshot(ctx context.Context, s Named) error {
+	b, err := s.Source.Snapshot(ctx)
+	if err != nil {
+		return err
+	}
+	if !s.Store && b.Age > staleAfter && f.Copy.Revision() > 0 {
+		return errStale
+	}
+	f.Load(b, time.Now())
+	f.log.WithFields(logrus.Fields{"event": "snapshot", "source": s.Name, "revision": b.Revision, "items": len(b.Items), "age": b.Age.String()}).Info("read a snapshot")
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (l *lane) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		s, ok := l.pick(time.Now())
+		if !ok {
+			sleep(ctx, l.pause)
+			l.pause = min(2*l.pause, lastRetry)
+			continue
+		}
 		began := time.Now()
-		err := f.followOnce(ctx, source)
+		err := l.follow(ctx, s)
 		if ctx.Err() != nil {
 			return
 		}
-		f.log.WithFields(logrus.Fields{"event": "store-lost", "revision": f.Copy.Revision(), "after": time.Since(began).String()}).WithError(err).Warn("lost the store")
-		if time.Since(began) > lastRetry {
-			pause = firstRetry
+		if errors.Is(err, errPreferred) {
+			continue
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(pause):
+		now := time.Now()
+		l.failed[s.Name] = now
+		if now.Sub(began) > lastRetry {
+			l.pause = firstRetry
 		}
-		pause = min(2*pause, lastRetry)
+		l.f.log.WithFields(logrus.Fields{"event": "source-lost", "source": s.Name, "lane": l.index, "revision": l.f.Copy.Revision(), "after": now.Sub(began).String()}).WithError(err).Warn("lost a source")
 	}
 }
 
-// followOnce reads a snapshot and then the changes until a read fails.
-func (f *Follower) followOnce(ctx context.Context, source replicator.Source) error {
-	b, err := source.Snapshot(ctx)
-	if err != nil {
-		return err
+// pick returns the first source that has not failed of late.
+func (l *lane) pick(now time.Time) (Named, bool) {
+	stale := now.Sub(l.f.Copy.Fresh()) > staleAfter
+	for i, s := range l.guide.Sources(l.index) {
+		if s.Store && i > 0 && !stale {
+			continue
+		}
+		if now.Sub(l.failed[s.Name]) >= avoidFor {
+			return s, true
+		}
 	}
-	f.Load(b, time.Now())
-	f.log.WithFields(logrus.Fields{"event": "store-read", "revision": b.Revision, "items": len(b.Items)}).Info("read the store")
-	after := b.Revision
+	return Named{}, false
+}
+
+// follow takes in the changes of one source until a read fails or another source is better.
+func (l *lane) follow(ctx context.Context, s Named) error {
+	wait := relayWait
+	after := l.f.Copy.Revision()
+	if s.Store {
+		// A watch that was cut may have missed changes.
+		wait = storeWait
+		if err := l.f.snapshot(ctx, s); err != nil {
+			return err
+		}
+		after = l.f.Copy.Revision()
+	}
+	began := time.Now()
 	for {
-		b, err := source.Changes(ctx, after, watchWait)
+		b, err := s.Source.Changes(ctx, after, wait)
+		if errors.Is(err, replicator.ErrCompacted) {
+			if err := l.f.snapshot(ctx, s); err != nil {
+				return err
+			}
+			after = l.f.Copy.Revision()
+			continue
+		}
 		if err != nil {
 			return err
 		}
-		f.Apply(b, time.Now())
-		after = b.Revision
+		now := time.Now()
+		l.f.Apply(b, now)
+		after = max(after, b.Revision)
+		if !s.Store && b.Age > staleAfter {
+			return errStale
+		}
+		if s.Store && len(b.Items) > 0 {
+			sleep(ctx, gatherTime)
+		}
+		if better, ok := l.pick(now); ok && better.Name != s.Name && now.Sub(began) > homesickAfter {
+			return errPreferred
+		}
 	}
 }
--- a/services/gossiper/gossiper.go
+++ b/services/gossiper/gossiper.go
@@ -15,6 +15,7 @@
 
 	"github.com/ebonylock/ebonylock/modules/muter"
 	"github.com/ebonylock/ebonylock/modules/prober"
+	"github.com/ebonylock/ebonylock/modules/sealer"
 	"github.com/ebonylock/ebonylock/modules/stamper"
 )
 
@@ -51,7 +52,7 @@
 type Gossiper struct {
 	gnet.BuiltinEventEngine
 	cfg      Config
-	sealer   *sealer
+	sealer   *sealer.Sealer
 	observer Observer
 	metrics  *metrics
 	eng      gnet.Engine
@@ -68,7 +69,7 @@
 
 // Start binds the address and starts the protocol.
 func Start(cfg Config, newProber func(self prober.Member) *prober.Prober, observer Observer) (*Gossiper, error) {
-	s, err := newSealer(cfg.Keys)
+	s, err := sealer.New(cfg.Keys)
 	if err != nil {
 		return nil, err
 	}
@@ -132,7 +133,7 @@
 	if err != nil {
 		return gnet.None
 	}
-	plain, err := g.sealer.open(raw)
+	plain, err := g.sealer.Open(raw)
 	if err != nil {
 		g.metrics.refused.Inc()
 		return gnet.None
@@ -191,7 +192,7 @@
 			o.Packet.Sent, o.Packet.Logical = stamp.Wall, stamp.Logical
 		}
 		g.buf = o.Packet.Append(g.buf[:0])
-		sealed := g.sealer.seal(g.buf)
+		sealed := g.sealer.Seal(g.buf)
 		g.metrics.bytes.WithLabelValues("out").Add(float64(len(sealed)))
 		g.metrics.packets.WithLabelValues("out").Inc()
 		_, _ = g.conn.WriteToUDPAddrPort(sealed, o.To)
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -22,6 +22,7 @@
 	"github.com/ebonylock/ebonylock/services/forwarder"
 	"github.com/ebonylock/ebonylock/services/gossiper"
 	"github.com/ebonylock/ebonylock/services/linker"
+	"github.com/ebonylock/ebonylock/services/relayer"
 )
 
 const (
@@ -64,6 +65,8 @@
 	callers  *requester.Listener
 	balancer *readier.Server
 	gossip   *gossiper.Gossiper
+	relay    *relayer.Server
+	guide    guide
 	stopping atomic.Bool
 	// closing is true once new requests are refused.
 	closing  atomic.Bool
@@ -95,14 +98,18 @@
 // join starts the membership between VMs.
 func (d *Daemon) join() error {
 	incarnation := rand.Uint64()
-	var keys [][]byte
-	for _, k := range d.site.Peers.Keys {
-		key, err := linker.Derive(k, "membership")
-		if err != nil {
-			return err
-		}
-		keys = append(keys, key)
+	keys, err := derive(d.site.Peers.Keys, "membership")
+	if err != nil {
+		return err
 	}
+	relayKeys, err := derive(d.site.Peers.Keys, "relay")
+	if err != nil {
+		return err
+	}
+	if d.relay, err = relayer.Listen(d.site.Peers.Link, relayKeys, &d.follow.Copy); err != nil {
+		return err
+	}
+	d.guide = guide{self: d.site.VM.ID, store: store.New(d.site.Store), keys: relayKeys, log: d.log}
 	self := prober.Member{
 		ID:          d.site.VM.ID,
 		DataCentre:  d.site.VM.DataCentre,
@@ -112,7 +119,6 @@
 		Epoch:       uint64(time.Now().UnixMilli()),
 	}
 	cfg := gossiper.Config{Bind: d.site.Peers.Gossip, Self: self, Keys: keys, Timing: timing, PauseAfter: fenceAfter}
-	var err error
 	d.gossip, err = gossiper.Start(cfg, func(self prober.Member) *prober.Prober {
 		return prober.New(self, cfg.Timing, rand.New(rand.NewPCG(incarnation, self.Epoch)), time.Now())
 	}, d)
@@ -128,13 +134,28 @@
 	return nil
 }
 
+// derive returns a key for purpose from each fleet key.
+func derive(secrets [][]byte, purpose string) ([][]byte, error) {
+	var keys [][]byte
+	for _, k := range secrets {
+		key, err := linker.Derive(k, purpose)
+		if err != nil {
+			return nil, err
+		}
+		keys = append(keys, key)
+	}
+	return keys, nil
+}
+
 // MembersChanged implements gossiper.Observer.
 func (d *Daemon) MembersChanged(_ time.Time, changes []prober.Change) {
 	for _, c := range changes {
 		d.log.WithFields(logrus.Fields{"event": "vm", "id": c.Member.ID, "state": c.Member.State.String(), "before": c.Before.String()}).Info("belief about a VM changed")
 	}
+	members := d.gossip.Members()
+	d.guide.update(members)
 	n := 0
-	for _, m := range d.gossip.Members() {
+	for _, m := range members {
 		// A dead VM counts until it is forgotten, as it may only be cut off from this one.
 		if m.State != prober.Left {
 			n++
@@ -181,9 +202,10 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
 	go func() { failed <- d.balancer.Serve() }()
-	go d.follow.Follow(ctx, store.New(d.site.Store))
+	go func() { failed <- d.relay.Serve() }()
+	go d.follow.Follow(ctx, readers, &d.guide)
 	go d.follow.Sweep(ctx)
 	go d.sweep(ctx)
 	d.log.WithFields(logrus.Fields{"event": "start", "vm": d.site.VM.ID, "callers": d.site.Requests.Listen.String()}).Info("VM started")
--- /dev/null
+++ b/services/relayer/codec.go
@@ -0,0 +1,119 @@
+package relayer
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/ebonylock/ebonylock/modules/encoder"
+	"github.com/ebonylock/ebonylock/services/replicator"
+)
+
+// question asks for a snapshot, or for what changed after a revision.
+type question struct {
+	whole bool
+	after uint64
+	wait  time.Duration
+}
+
+// Field numbers of a question.
+const (
+	questionWhole protowire.Number = 1
+	questionAfter protowire.Number = 2
+	questionWait  protowire.Number = 3
+)
+
+func (q question) append(b []byte) []byte {
+	if q.whole {
+		b = encoder.AppendVarint(b, questionWhole, 1)
+	}
+	b = encoder.AppendVarint(b, questionAfter, q.after)
+	return encoder.AppendVarint(b, questionWait, uint64(q.wait.Milliseconds()))
+}
+
+func decodeQuestion(b []byte) (question, error) {
+	var q question
+	err := encoder.Fields(b, func(num protowire.Number, v uint64, _ []byte) error {
+		switch num {
+		case questionWhole:
+			q.whole = v != 0
+		case questionAfter:
+			q.after = v
+		case questionWait:
+			q.wait = milliseconds(v)
+		}
+		return nil
+	})
+	return q, err
+}
+
+// milliseconds bounds what another VM says to a day.
+func milliseconds(v uint64) time.Duration {
+	return time.Duration(min(v, uint64(24*time.Hour/time.Millisecond))) * time.Millisecond
+}
+
+// Field numbers of a batch and of its items.
+const (
+	batchRevision protowire.Number = 1
+	batchAge      protowire.Number = 2
+	batchItem     protowire.Number = 3
+
+	itemKey      protowire.Number = 1
+	itemValue    protowire.Number = 2
+	itemRevision protowire.Number = 3
+	itemRemoved  protowire.Number = 4
+)
+
+func appendBatch(b []byte, batch replicator.Batch) []byte {
+	b = encoder.AppendVarint(b, batchRevision, batch.Revision)
+	b = encoder.AppendVarint(b, batchAge, uint64(max(batch.Age, 0).Milliseconds()))
+	var item []byte
+	for _, it := range batch.Items {
+		item = encoder.AppendBytes(item[:0], itemKey, []byte(it.Key))
+		item = encoder.AppendBytes(item, itemValue, it.Value)
+		item = encoder.AppendVarint(item, itemRevision, it.Revision)
+		if it.Removed {
+			item = encoder.AppendVarint(item, itemRemoved, 1)
+		}
+		b = encoder.AppendBytes(b, batchItem, item)
+	}
+	return b
+}
+
+func decodeBatch(b []byte) (replicator.Batch, error) {
+	var out replicator.Batch
+	err := encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) error {
+		switch num {
+		case batchRevision:
+			out.Revision = v
+		case batchAge:
+			out.Age = milliseconds(v)
+		case batchItem:
+			it, err := decodeItem(raw)
+			if err != nil {
+				return err
+			}
+			out.Items = append(out.Items, it)
+		}
+		return nil
+	})
+	return out, err
+}
+
+func decodeItem(b []byte) (replicator.Item, error) {
+	var it replicator.Item
+	err := encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) error {
+		switch num {
+		case itemKey:
+			it.Key = string(raw)
+		case itemValue:
+			it.Value = append([]byte(nil), raw...)
+		case itemRevision:
+			it.Revision = v
+		case itemRemoved:
+			it.Removed = v != 0
+		}
+		return nil
+	})
+	return it, err
+}
--- /dev/null
+++ b/services/relayer/relayer.go
@@ -0,0 +1,163 @@
+// Package relayer lets a VM follow what another VM has read of the store, so that few VMs
+// have to read it themselves.
+package relayer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+
+	"github.com/ebonylock/ebonylock/modules/fetcher"
+	"github.com/ebonylock/ebonylock/modules/sealer"
+	"github.com/ebonylock/ebonylock/services/replicator"
+)
+
+// ErrUnreachable says that the other VM gave no usable answer.
+var ErrUnreachable = errors.New("relay unreachable")
+
+const (
+	// pathRead is where a VM answers others.
+	pathRead = "/relay/1"
+	// maxWait bounds the time for which a question may wait.
+	maxWait = 30 * time.Second
+	// maxQuestion bounds a question, in bytes.
+	maxQuestion = 4096
+	// slack is the time that an answer may take beyond its wait.
+	slack = 500 * time.Millisecond
+	// snapshotTimeout limits the reading of a snapshot.
+	snapshotTimeout = time.Second
+	// idleTimeout is the time for which a connection may stay without a question.
+	idleTimeout = time.Minute
+)
+
+// Server answers other VMs from a source.
+type Server struct {
+	source replicator.Source
+	sealer *sealer.Sealer
+	ln     net.Listener
+	srv    fasthttp.Server
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// Listen binds addr. keys are 32-byte keys: the first one seals, all of them open.
+func Listen(addr netip.AddrPort, keys [][]byte, source replicator.Source) (*Server, error) {
+	box, err := sealer.New(keys)
+	if err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp4", addr.String())
+	if err != nil {
+		return nil, oops.Wrapf(err, "listen for other VMs on %s", addr)
+	}
+	s := &Server{source: source, sealer: box, ln: ln}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.srv = fasthttp.Server{Handler: s.handle, MaxRequestBodySize: maxQuestion, NoDefaultServerHeader: true, IdleTimeout: idleTimeout}
+	return s, nil
+}
+
+// Addr is the address that was bound.
+func (s *Server) Addr() netip.AddrPort {
+	return s.ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Serve serves until Close.
+func (s *Server) Serve() error {
+	return oops.Wrap(s.srv.Serve(s.ln))
+}
+
+// Close ends Serve and all answers that wait.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.ln.Close()
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != pathRead {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	plain, err := s.sealer.Open(ctx.PostBody())
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusForbidden)
+		return
+	}
+	q, err := decodeQuestion(plain)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	var b replicator.Batch
+	if q.whole {
+		b, err = s.source.Snapshot(s.ctx)
+	} else {
+		b, err = s.source.Changes(s.ctx, q.after, min(q.wait, maxWait))
+	}
+	switch {
+	case errors.Is(err, replicator.ErrCompacted):
+		ctx.SetStatusCode(fasthttp.StatusGone)
+	case err != nil:
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	default:
+		ctx.SetBody(s.sealer.Seal(appendBatch(nil, b)))
+	}
+}
+
+// Client follows another VM. It implements replicator.Source.
+type Client struct {
+	sealer *sealer.Sealer
+	c      *fetcher.Client
+}
+
+// maxConns is the number of connections to another VM.
+const maxConns = 2
+
+// NewClient returns a Client of the VM at addr; keys are those of Listen.
+func NewClient(addr netip.AddrPort, keys [][]byte) (*Client, error) {
+	box, err := sealer.New(keys)
+	if err != nil {
+		return nil, err
+	}
+	return &Client{sealer: box, c: fetcher.New(addr, maxConns)}, nil
+}
+
+// Snapshot implements replicator.Source.
+func (c *Client) Snapshot(ctx context.Context) (replicator.Batch, error) {
+	return c.ask(ctx, question{whole: true}, snapshotTimeout)
+}
+
+// Changes implements replicator.Source.
+func (c *Client) Changes(ctx context.Context, after uint64, wait time.Duration) (replicator.Batch, error) {
+	return c.ask(ctx, question{after: after, wait: wait}, wait+slack)
+}
+
+func (c *Client) ask(ctx context.Context, q question, timeout time.Duration) (replicator.Batch, error) {
+	deadline := time.Now().Add(timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	body := c.sealer.Seal(q.append(nil))
+	code, reply, err := c.c.Raw(fasthttp.MethodPost, pathRead, "application/octet-stream", body, deadline)
+	switch {
+	case err != nil:
+		return replicator.Batch{}, oops.Wrap(errors.Join(ErrUnreachable, err))
+	case code == fasthttp.StatusGone:
+		return replicator.Batch{}, replicator.ErrCompacted
+	case code != fasthttp.StatusOK:
+		return replicator.Batch{}, oops.Wrapf(ErrUnreachable, "status %d", code)
+	}
+	plain, err := c.sealer.Open(reply)
+	if err != nil {
+		return replicator.Batch{}, oops.Wrap(errors.Join(ErrUnreachable, err))
+	}
+	b, err := decodeBatch(plain)
+	if err != nil {
+		return replicator.Batch{}, oops.Wrap(errors.Join(ErrUnreachable, err))
+	}
+	return b, nil
+}
--- a/services/replicator/replicator.go
+++ b/services/replicator/replicator.go
@@ -47,11 +47,17 @@
 // defaultHistory is the number of changes kept for followers.
 const defaultHistory = 2048
 
+// maxRemoved is the number of removals remembered.
+const maxRemoved = 8192
+
 // Copy is a copy of the store. The zero value is ready for use.
 type Copy struct {
 	mu sync.Mutex
 	// items holds the last known state of each key, removed ones left out.
 	items map[string]Item
+	// removed holds the revisions of removals, so that a slower source does not bring a key
+	// back. It is bounded by maxRemoved.
+	removed map[string]uint64
 	// revision is the one up to which items are whole; it never falls.
 	revision uint64
 	// fresh is the time at which the store was known to be at revision.
@@ -72,9 +78,8 @@
 	if c.items != nil && b.Revision < c.revision {
 		return nil
 	}
-	first := c.items == nil
-	if first {
-		c.items = make(map[string]Item)
+	if c.items == nil {
+		c.items, c.removed = make(map[string]Item), make(map[string]uint64)
 	}
 	var changes []Item
 	seen := make(map[string]bool, len(b.Items))
@@ -90,8 +95,9 @@
 		}
 	}
 	c.take(changes, b, now)
-	if first {
-		c.history, c.compacted = nil, b.Revision
+	if len(changes) > 0 {
+		// The changes may be older than what followers have seen; they read a snapshot.
+		c.history, c.compacted = nil, c.revision
 	}
 	return changes
 }
@@ -105,7 +111,8 @@
 	}
 	var changes []Item
 	for _, it := range b.Items {
-		if old, ok := c.items[it.Key]; (!ok && !it.Removed) || (ok && old.Revision < it.Revision) {
+		old, ok := c.items[it.Key]
+		if (ok && old.Revision < it.Revision) || (!ok && !it.Removed && c.removed[it.Key] < it.Revision) {
 			changes = append(changes, it)
 		}
 	}
@@ -118,6 +125,10 @@
 	for _, it := range changes {
 		if it.Removed {
 			delete(c.items, it.Key)
+			if len(c.removed) >= maxRemoved {
+				clear(c.removed)
+			}
+			c.removed[it.Key] = it.Revision
 		} else {
 			c.items[it.Key] = it
 		}
