Request lines, parts given up early, budget kept for pivotal parts; relay survives two cut readers

A stale copy now answers at once, two reserves read the store then, and the other VMs after them. Cause 2: parts of a shard whose replicas are all dead, or known to be slower than the time left, were waited for and worked on in vain; tokens went to parts whose loss costs a tenth. Callers name less time when they have opened a connection or come again: the target counts from there, and the fixed round trip for new connections is gone.

--- a/cmd/ebonylockd/serve.go
+++ b/cmd/ebonylockd/serve.go
@@ -6,10 +6,8 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
-	"github.com/ebonylock/ebonylock/modules/loader"
 	"github.com/ebonylock/ebonylock/services/runner"
 )
 
@@ -29,7 +27,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	d, err := runner.New(s, newLogger(s.Log))
+	d, err := runner.New(s, s.Log.Logger(os.Stderr))
 	if err != nil {
 		return err
 	}
@@ -43,15 +41,3 @@
 	}()
 	return d.Run(ctx)
 }
-
-func newLogger(s loader.Log) *logrus.Logger {
-	log := logrus.New()
-	log.SetOutput(os.Stderr)
-	if level, err := logrus.ParseLevel(s.Level); err == nil {
-		log.SetLevel(level)
-	}
-	if s.Format == "json" {
-		log.SetFormatter(&logrus.JSONFormatter{})
-	}
-	return log
-}
--- a/cmd/ebonylockd/serve_platform.go
+++ b/cmd/ebonylockd/serve_platform.go
@@ -38,9 +38,7 @@
 		return err
 	}
 	debug.SetMemoryLimit(memoryLimit)
-	log := newLogger(site.Log)
-	log.SetOutput(os.Stdout)
-	d, err := launcher.New(site, log)
+	d, err := launcher.New(site, os.Stdout)
 	if err != nil {
 		return err
 	}
--- a/modules/budgeter/budgeter.go
+++ b/modules/budgeter/budgeter.go
@@ -68,5 +68,6 @@
 func (b *Budget) Fullness() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.tokens / b.burst()
+	burst := b.burst()
+	return b.tokens / burst
 }
--- a/modules/loader/log.go
+++ b/modules/loader/log.go
@@ -1,5 +1,11 @@
 package loader
 
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
 // Log sets up the daemon's log.
 type Log struct {
 	// Level is the least level that is written.
@@ -14,3 +20,19 @@
 		"format": choice(&s.Format, "text", "json"),
 	}
 }
+
+// timeFormat is that of the time stamps in JSON lines.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// Logger returns a logger set up by s that writes to out.
+func (s Log) Logger(out io.Writer) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(out)
+	if level, err := logrus.ParseLevel(s.Level); err == nil {
+		log.SetLevel(level)
+	}
+	if s.Format == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
+	}
+	return log
+}
--- a/modules/ranker/ranker.go
+++ b/modules/ranker/ranker.go
@@ -28,6 +28,12 @@
 	// with each further one.
 	firstEject = 200 * time.Millisecond
 	lastEject  = 1600 * time.Millisecond
+	// maxDoublings bounds the growth of that time.
+	maxDoublings = 8
+	// shedShare is the share of a failure that a refusal counts for.
+	shedShare = 0.5
+	// deadAfter is the number of signs after which a replica counts as dead.
+	deadAfter = 2
 	// lastResort is added to the expectation of a replica that should get no work.
 	lastResort = 10 * time.Second
 	// unknown is the share of the target latency that work takes of which nothing is known.
@@ -49,8 +55,11 @@
 	Failed
 	// Shed is a refusal for load.
 	Shed
-	// Dead is a connection that was refused or broke, or silence.
+	// Dead is a connection that was refused or broke.
 	Dead
+	// Silent is a run that was given up without a reply. It is a sign of death unless the
+	// replica has replied to another request meanwhile.
+	Silent
 	// Unjudged says nothing about the replica.
 	Unjudged
 )
@@ -71,12 +80,35 @@
 type Estimate struct {
 	// Expected is the time until a reply, what waits and how sure it is included.
 	Expected time.Duration
-	// Mean and Deviation are those of runs without a queue.
+	// Mean and Deviation are those of the replica's runs; those of its service if it had none.
 	Mean, Deviation time.Duration
+	// Runs is the number of its runs that were measured, the last one at Seen.
+	Runs int
+	Seen time.Time
 	// Suspect is true for a replica that gave a sign of death and no reply since.
 	Suspect bool
 	// Ejected is true while a suspect should get no work.
 	Ejected bool
+	// Dead is true for an ejected one with more than one sign.
+	Dead bool
+}
+
+// Change is what the end of a run changes in the belief about a replica.
+type Change int
+
+// Changes of belief.
+const (
+	// None changes nothing.
+	None Change = iota
+	// Ejection leaves a replica for signs of death.
+	Ejection
+	// Return takes a replica back after a reply.
+	Return
+)
+
+// String returns the change in kebab case.
+func (c Change) String() string {
+	return [...]string{"none", "ejected", "back"}[c]
 }
 
 // Ranker holds the evidence. The zero value is ready for use.
@@ -102,8 +134,9 @@
 	failedAt time.Time
 	load     Load
 	loadAt   time.Time
-	// deaths counts the signs of death since the last reply.
-	deaths int
+	// deaths counts the signs of death since the last reply, which came at replied.
+	deaths  int
+	replied time.Time
 	// ejectedUntil is the time until which it should get no work.
 	ejectedUntil time.Time
 	used         time.Time
@@ -177,22 +210,42 @@
 	})
 }
 
-// End takes in the end of a run that began at began. load is nil when the replica told none.
-func (r *Ranker) End(id string, w Work, began, now time.Time, o Outcome, load *Load) {
-	took := now.Sub(began).Seconds()
+// Run is the end of a run.
+type Run struct {
+	// Began is the time given to Begin.
+	Began time.Time
+	// Took is the time from the sending of the request to its end; 0 if it was not sent.
+	Took    time.Duration
+	Outcome Outcome
+	// Load is nil when the replica told none.
+	Load *Load
+}
+
+// End takes in the end of a run and returns what it changes.
+func (r *Ranker) End(id string, w Work, run Run, now time.Time) Change {
+	took := run.Took.Seconds()
+	var change Change
 	r.with(id, func(e *evidence) {
-		e.end(began)
-		if load != nil {
-			e.load, e.loadAt = *load, now
+		e.end(run.Began)
+		if run.Load != nil {
+			e.load, e.loadAt = *run.Load, now
 		}
-		e.judge(o, now)
+		o := run.Outcome
+		if o == Silent {
+			o = Dead
+			if e.replied.After(run.Began) {
+				o = Unjudged
+			}
+		}
+		change = e.judge(o, now)
 		if o == Served || (o == Unjudged && took > e.work(w).mean) {
 			e.work(w).add(took, now)
 		}
 	})
-	if o == Served {
+	if run.Outcome == Served {
 		r.learn(w, took, now)
 	}
+	return change
 }
 
 func (e *evidence) work(w Work) *average {
@@ -213,27 +266,36 @@
 	}
 }
 
-func (e *evidence) judge(o Outcome, now time.Time) {
+func (e *evidence) judge(o Outcome, now time.Time) Change {
 	switch o {
 	case Served:
-		e.deaths = 0
-		e.fail(0, now)
+		return e.reply(0, now)
 	case Failed:
-		e.deaths = 0
-		e.fail(1, now)
+		return e.reply(1, now)
 	case Shed:
-		e.deaths = 0
-		e.fail(0.5, now)
+		return e.reply(shedShare, now)
 	case Dead:
 		e.fail(1, now)
 		if now.Before(e.ejectedUntil) {
-			return
+			return None
 		}
 		e.deaths++
-		pause := min(firstEject<<min(e.deaths-1, 8), lastEject)
-		e.ejectedUntil = now.Add(pause)
-	case Unjudged:
+		e.ejectedUntil = now.Add(min(firstEject<<min(e.deaths-1, maxDoublings), lastEject))
+		return Ejection
+	case Unjudged, Silent:
+	}
+	return None
+}
+
+// reply takes in a reply that is a failure to the given share.
+func (e *evidence) reply(failure float64, now time.Time) Change {
+	change := None
+	if e.deaths > 0 {
+		change = Return
 	}
+	e.deaths, e.replied = 0, now
+	e.fail(failure, now)
+	return change
 }
 
 func (e *evidence) fail(v float64, now time.Time) {
@@ -264,8 +326,10 @@
 
 func (e *evidence) estimate(prior average, slots int, w Work, now time.Time) Estimate {
 	mean, deviation := prior.mean, prior.deviation
+	var out Estimate
 	if a := e.works[w]; a != nil && a.runs > 0 {
 		mean, deviation = a.mean, a.deviation
+		out.Runs, out.Seen = a.runs, a.at
 		if mean > prior.mean {
 			back := decay(now.Sub(a.at), recovery)
 			mean = prior.mean + (mean-prior.mean)*back
@@ -278,16 +342,13 @@
 	expected := mean * (1 + max(waiting, 0)/float64(max(slots, 1)))
 	expected += e.overdue(mean+overdueDeviations*deviation, now)
 	expected += e.failing(now) * w.Target.Seconds()
-	out := Estimate{
-		Expected:  seconds(expected),
-		Mean:      seconds(mean),
-		Deviation: seconds(deviation),
-		Suspect:   e.deaths > 0,
-		// One run at a time tries whether a suspect is back.
-		Ejected: e.deaths > 0 && (now.Before(e.ejectedUntil) || len(e.starts) > 0),
-	}
+	out.Expected, out.Mean, out.Deviation = seconds(expected), seconds(mean), seconds(deviation)
+	out.Suspect = e.deaths > 0
+	// One run at a time tries whether a suspect is back.
+	out.Ejected = e.deaths > 0 && (now.Before(e.ejectedUntil) || len(e.starts) > 0)
 	if out.Ejected {
 		out.Expected += lastResort
+		out.Dead = e.deaths >= deadAfter
 	}
 	return out
 }
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -69,6 +69,11 @@
 	return f.state.Load()
 }
 
+// Fresh implements forwarder.Beliefs.
+func (f *Follower) Fresh() time.Time {
+	return f.Copy.Fresh()
+}
+
 // SetVMs sets the number of VMs that share the limits.
 func (f *Follower) SetVMs(n int) {
 	f.mu.Lock()
--- a/services/follower/run.go
+++ b/services/follower/run.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -13,29 +14,26 @@
 
 const (
 	// storeWait is the time for which one watch of the store waits for a change. It bounds
-	// how old a healthy copy may look to others.
-	storeWait = 2500 * time.Millisecond
-	// relayWait is the same for another VM, whose silence is found that fast.
-	relayWait = time.Second
-	// staleAfter is the age above which a copy may have missed changes: a watch of the store
-	// and its slack have passed without a word.
-	staleAfter = 4 * time.Second
-	// avoidFor is the time for which a source that failed is not asked again while there is
-	// another one.
+	// the age of a reader's copy.
+	storeWait = time.Second
+	// relayWait is the same for another VM.
+	relayWait = 500 * time.Millisecond
+	// avoidFor is the time for which a VM that failed is not asked again while there is
+	// another source.
 	avoidFor = time.Second
 	// firstRetry and lastRetry are the pauses while all sources fail; they double.
 	firstRetry = 50 * time.Millisecond
-	lastRetry  = 800 * time.Millisecond
+	lastRetry  = 400 * time.Millisecond
 	// firstTimeout limits the first reads of a VM that knows nothing.
-	firstTimeout = 1500 * time.Millisecond
-	// homesickAfter is the time after which a VM looks whether a preferred source is back.
-	homesickAfter = 2 * time.Second
+	firstTimeout = 600 * time.Millisecond
 	// settleTime is the time for which a VM that has just read a snapshot waits to hear of the
 	// other VMs before it chooses whom to follow.
 	settleTime = time.Second
 	// gatherTime is the pause after a watch of the store that found changes, so that the next
 	// one returns several at once.
 	gatherTime = 200 * time.Millisecond
+	// homesickAfter is the time after which a VM looks whether a preferred source is back.
+	homesickAfter = 2 * time.Second
 )
 
 // errPreferred says that a source was left for a preferred one.
@@ -48,14 +46,17 @@
 type Named struct {
 	Name string
 	// Store is true for the store itself, whose calls are paid for.
-	Store  bool
+	Store bool
+	// After is the age of the copy above which the source may be asked.
+	After time.Duration
+	// Avoid is the time for which the source is not asked after a failure; 0 means a second.
+	Avoid  time.Duration
 	Source replicator.Source
 }
 
 // Guide says whom to follow.
 type Guide interface {
-	// Sources returns the sources for a lane, the preferred one first. A store that is not
-	// the first one is only asked when the others have no fresh data.
+	// Sources returns the sources for a lane, the preferred one first.
 	Sources(lane int) []Named
 }
 
@@ -111,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	if !s.Store && b.Age > staleAfter && f.Copy.Revision() > 0 {
+	if !s.Store && b.Age > replicator.StaleAfter && f.Copy.Revision() > 0 {
 		return errStale
 	}
 	f.Load(b, time.Now())
@@ -153,12 +154,9 @@
 
 // pick returns the first source that has not failed of late.
 func (l *lane) pick(now time.Time) (Named, bool) {
-	stale := now.Sub(l.f.Copy.Fresh()) > staleAfter
-	for i, s := range l.guide.Sources(l.index) {
-		if s.Store && i > 0 && !stale {
-			continue
-		}
-		if now.Sub(l.failed[s.Name]) >= avoidFor {
+	age := now.Sub(l.f.Copy.Fresh())
+	for _, s := range l.guide.Sources(l.index) {
+		if age >= s.After && now.Sub(l.failed[s.Name]) >= cmp.Or(s.Avoid, avoidFor) {
 			return s, true
 		}
 	}
@@ -193,7 +191,7 @@
 		now := time.Now()
 		l.f.Apply(b, now)
 		after = max(after, b.Revision)
-		if !s.Store && b.Age > staleAfter {
+		if !s.Store && b.Age > replicator.StaleAfter {
 			return errStale
 		}
 		if s.Store && len(b.Items) > 0 {
--- /dev/null
+++ b/services/forwarder/chronicle.go
@@ -0,0 +1,126 @@
+package forwarder
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/ebonylock/ebonylock/modules/ranker"
+)
+
+// Outcomes of requests, in logs and metrics.
+const (
+	outcomeAnswered   = "answered"
+	outcomePartial    = "answered-partly"
+	outcomeLate       = "answered-late"
+	outcomeRefused    = "refused"
+	outcomeFailed     = "failed"
+	outcomeCallerLeft = "caller-left"
+	outcomeNoRoute    = "no-route"
+	outcomeNoConfig   = "no-configuration"
+)
+
+// record counts the end of a request and writes its line. Plain answers go to the log whose
+// lines are dropped first, without their tries.
+func (f *Forwarder) record(fl *flight, r *Request, a *Answer, outcome string) {
+	now := time.Now()
+	took := now.Sub(r.Arrived)
+	kind := "single"
+	if a.Gathered || (fl != nil && len(fl.route.Shards) > 0) {
+		kind = "gathered"
+	}
+	f.metrics.requests.WithLabelValues(outcome, strconv.Itoa(a.Status)).Inc()
+	f.metrics.latency.WithLabelValues(kind).Observe(took.Seconds())
+	fields := logrus.Fields{
+		"event": "request", "id": r.ID, "outcome": outcome, "status": a.Status,
+		"took-ms": milliseconds(took), "patience-ms": milliseconds(r.Patience),
+	}
+	if a.RetryAfter > 0 {
+		fields["retry-after-ms"] = milliseconds(a.RetryAfter)
+	}
+	if fl == nil {
+		fields["host"], fields["path"] = r.Host, r.Path
+		f.log.WithFields(fields).Warn("request ended")
+		return
+	}
+	fields["route"], fields["version"] = fl.route.Name, fl.state.Table.Config.Version
+	fields["target-ms"], fields["used-ms"] = milliseconds(fl.route.Target), milliseconds(fl.used)
+	fields["beliefs-age-ms"] = milliseconds(now.Sub(f.beliefs.Fresh()))
+	plain := outcome == outcomeAnswered
+	var missing, tries []string
+	for _, p := range fl.parts {
+		if p.reply == nil {
+			reason := p.reason
+			if !p.ended {
+				reason = "no-reply-yet"
+			}
+			f.metrics.missing.WithLabelValues(reason).Inc()
+			missing = append(missing, p.service+" "+reason)
+		}
+		if p.reply == nil || len(p.tries) > 1 {
+			plain = false
+			for _, t := range p.tries {
+				tries = append(tries, t.describe(r.Arrived, now))
+			}
+		}
+	}
+	fields["parts"] = len(fl.parts)
+	if plain {
+		f.routine.WithFields(fields).Info("request ended")
+		return
+	}
+	fields["missing"], fields["tries"], fields["budget"] = missing, tries, fl.parts[0].budget.Fullness()
+	f.log.WithFields(fields).Info("request ended")
+}
+
+// describe gives a try as "service replica data-centre kind begin took end", times in
+// milliseconds since the request's arrival.
+func (t *try) describe(arrived, now time.Time) string {
+	end, took := t.end, t.took
+	if end == "" {
+		end, took = "under-way", now.Sub(t.began)
+	}
+	kind := "try"
+	if t.hedge {
+		kind = "hedge"
+	}
+	return fmt.Sprintf("%s %s %s %s +%.1f %.1f %s", t.part.service, t.to.ID, t.to.DataCentre, kind,
+		milliseconds(t.began.Sub(arrived)), milliseconds(took), end)
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
+
+// logChange writes what a try has changed in the belief about its replica.
+func (f *Forwarder) logChange(t *try, c ranker.Change, err error) {
+	if c == ranker.None {
+		return
+	}
+	f.metrics.changes.WithLabelValues(c.String()).Inc()
+	fields := logrus.Fields{
+		"event": "replica-" + c.String(), "replica": t.to.ID, "service": t.part.service,
+		"data-centre": t.to.DataCentre, "after-ms": milliseconds(time.Since(t.began)),
+	}
+	f.log.WithFields(fields).WithError(err).Info("belief about a replica changed")
+}
+
+// outcome names the end of a flight.
+func (fl *flight) outcome(a *Answer) string {
+	switch {
+	case fl.ctx.Err() != nil:
+		return outcomeCallerLeft
+	case a.Status == http.StatusServiceUnavailable:
+		return outcomeRefused
+	case a.Status >= http.StatusMultipleChoices:
+		return outcomeFailed
+	case time.Now().After(fl.cutoff().Add(answerMargin)):
+		return outcomeLate
+	case a.Missing > 0:
+		return outcomePartial
+	}
+	return outcomeAnswered
+}
--- /dev/null
+++ b/services/forwarder/decider.go
@@ -0,0 +1,137 @@
+package forwarder
+
+import (
+	"math"
+	"time"
+
+	"github.com/ebonylock/ebonylock/modules/ranker"
+	"github.com/ebonylock/ebonylock/modules/registrar"
+)
+
+const (
+	// hedgeFloor is the least delay of a hedge.
+	hedgeFloor = 3 * time.Millisecond
+	// hedgeEager and hedgeThrifty are the deviations above the mean after which a hedge is
+	// sent with a full and with an empty budget.
+	hedgeEager   = 1.5
+	hedgeThrifty = 5
+	// hedgeAgain is the time after which a hedge that was put off is looked at again.
+	hedgeAgain = 5 * time.Millisecond
+	// reserved is the share of the budget that is kept for parts without which there would be
+	// no answer.
+	reserved = 0.4
+	// hopeless is the share of the time left above which a part is expected to be late.
+	hopeless = 1.2
+	// certain is the number of runs, and recent the age of the last one, without which a
+	// replica is not known to be slow: it is tried again.
+	certain = 4
+	recent  = 300 * time.Millisecond
+)
+
+// Reasons against a try. They are stable codes.
+const (
+	reasonNoReplica = "no-replica"
+	reasonNoOther   = "no-other-replica"
+	reasonAttempts  = "attempts"
+	reasonRefused   = "refused"
+	reasonUnsound   = "no-sound-replica"
+	reasonBudget    = "budget"
+	reasonReserved  = "budget-reserved"
+	reasonTooSlow   = "too-slow"
+)
+
+// needed is the number of shards without which there is no answer.
+func needed(share float64, shards int) int {
+	// The share may be a rounded one, such as 0.89 of 9 shards for 8.
+	return max(int(math.Ceil(share*float64(shards)-1e-9)), 1)
+}
+
+// launchAll starts the parts. Those whose replicas are all dead are given up, and so are
+// those expected to be late, as long as there is an answer without them.
+func (fl *flight) launchAll() {
+	now := time.Now()
+	left := fl.cutoff().Sub(now)
+	var late []*part
+	gone := 0
+	for _, p := range fl.parts {
+		c, expect := fl.f.best(p.list, nil, p.work, now)
+		switch {
+		case c == nil:
+			fl.giveUp(p, reasonNoReplica)
+			gone++
+		case expect.Dead:
+			fl.giveUp(p, reasonUnsound)
+			gone++
+		case left > 0 && tooSlow(expect, left, now):
+			late = append(late, p)
+		}
+	}
+	if gone+fl.need > len(fl.parts) {
+		return
+	}
+	if gone+len(late)+fl.need <= len(fl.parts) {
+		for _, p := range late {
+			fl.giveUp(p, reasonTooSlow)
+		}
+	}
+	for _, p := range fl.parts {
+		if !p.ended {
+			fl.launch(p, false)
+		}
+	}
+}
+
+// tooSlow reports whether a replica is known to take longer than the time left.
+func tooSlow(e ranker.Estimate, left time.Duration, now time.Time) bool {
+	return e.Runs >= certain && now.Sub(e.Seen) < recent && float64(e.Mean) > hopeless*float64(left)
+}
+
+// pivotal reports whether there is no answer without p.
+func (fl *flight) pivotal() bool {
+	lost := 0
+	for _, p := range fl.parts {
+		if p.ended && p.reply == nil {
+			lost++
+		}
+	}
+	return lost+1+fl.need > len(fl.parts)
+}
+
+// decline returns the reason against another try, empty if there is none.
+func (fl *flight) decline(p *part, c *registrar.Candidate, expect ranker.Estimate, hedge bool) string {
+	extra := p.sent+p.open > 0
+	switch {
+	case c == nil && len(p.tried) == 0:
+		return reasonNoReplica
+	case c == nil:
+		return reasonNoOther
+	case p.ran+p.open >= max(fl.route.MaxAttempts, 1):
+		return reasonAttempts
+	case p.refused > maxRefusals:
+		return reasonRefused
+	case expect.Ejected && (hedge || expect.Dead):
+		return reasonUnsound
+	case extra && p.budget.Fullness() < reserved && !fl.pivotal():
+		return reasonReserved
+	case extra && !p.budget.Withdraw():
+		return reasonBudget
+	}
+	return ""
+}
+
+// hedgeDelay is the time after which a second replica is asked as well. It grows as the
+// budget empties, but leaves the second one its time before the target where it can.
+func (fl *flight) hedgeDelay(p *part, c *registrar.Candidate, expect ranker.Estimate, now time.Time) time.Duration {
+	if expect.Suspect {
+		return hedgeFloor
+	}
+	spent := 1 - p.budget.Fullness()
+	stretch := hedgeEager + (hedgeThrifty-hedgeEager)*spent
+	delay := expect.Mean + time.Duration(stretch*float64(expect.Deviation))
+	_, other := fl.f.best(p.list, []string{c.ID}, p.work, now)
+	latest := fl.cutoff().Sub(now) - other.Mean - 2*other.Deviation
+	if latest < delay && latest > expect.Mean {
+		delay = latest
+	}
+	return max(delay, hedgeFloor)
+}
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"errors"
-	"math"
-	"net/http"
 	"time"
 
 	"github.com/ebonylock/ebonylock/modules/budgeter"
-	"github.com/ebonylock/ebonylock/modules/merger"
 	"github.com/ebonylock/ebonylock/modules/ranker"
 	"github.com/ebonylock/ebonylock/modules/registrar"
 	"github.com/ebonylock/ebonylock/modules/router"
@@ -22,6 +19,11 @@
 	// maxRefusals is the number of sends for a part that replicas may refuse or that never
 	// leave the VM, besides the attempts that run.
 	maxRefusals = 2
+	// lingerTargets and leastLinger bound the time for which a try goes on after the answer
+	// has left without it, so that its connection stays whole: the larger one of so many
+	// target latencies and that time.
+	lingerTargets = 3
+	leastLinger   = 300 * time.Millisecond
 )
 
 // part is the work for one service.
@@ -32,6 +34,8 @@
 	list    []*registrar.Candidate
 	// tried are the replicas that had a try.
 	tried []string
+	// tries are those that were begun, in order.
+	tries []*try
 	// sent counts the tries that reached a replica, ran those that may have run there.
 	sent, ran int
 	// refused counts the tries that did not run.
@@ -54,14 +58,18 @@
 	to    *registrar.Candidate
 	began time.Time
 	hedge bool
-	// sent is set by the sender before it writes.
-	sent bool
+	// sent is the time at which the sender began to write; zero if it did not.
+	sent time.Time
+	// took and end are set when the flight takes in the result.
+	took time.Duration
+	end  string
 }
 
 type result struct {
 	try   *try
 	reply *Reply
 	err   error
+	at    time.Time
 }
 
 // flight is one request under way. It belongs to the goroutine that serves the request; each
@@ -76,18 +84,23 @@
 	deadline time.Time
 	// target is the time at which the caller should have the answer.
 	target time.Time
+	// used is the part of the target latency that the caller's earlier attempts took.
+	used time.Duration
 	// tries is the parent of all tries; it ends when the caller has gone.
-	tries   context.Context
-	cancel  context.CancelFunc
-	parts   []*part
+	tries  context.Context
+	cancel context.CancelFunc
+	parts  []*part
+	// need is the number of parts without which there is no answer, at least 1.
+	need    int
 	results chan result
 	// anyRan is true once any try ended that may have run.
 	anyRan bool
 }
 
-func (fl *flight) start(services []string) {
+func (fl *flight) start(services []string, need int) {
 	fl.tries, fl.cancel = context.WithDeadline(context.Background(), fl.deadline.Add(replyGrace))
-	fl.results = make(chan result, len(services)*(fl.route.MaxAttempts+maxRefusals))
+	fl.results = make(chan result, len(services)*(fl.route.MaxAttempts+maxRefusals+1))
+	fl.need = need
 	for _, s := range services {
 		p := &part{
 			service: s,
@@ -100,8 +113,8 @@
 	}
 }
 
-// finish lets the tries still under way run on to their deadline, so that their connections
-// stay whole, unless the caller has gone.
+// finish lets the tries still under way run on for a while, so that their connections stay
+// whole, unless the caller has gone.
 func (fl *flight) finish() {
 	open := 0
 	for _, p := range fl.parts {
@@ -111,20 +124,30 @@
 		fl.cancel()
 		return
 	}
-	time.AfterFunc(time.Until(fl.deadline.Add(replyGrace)), fl.cancel)
+	end := fl.r.Arrived.Add(max(lingerTargets*fl.route.Target, leastLinger))
+	if last := fl.deadline.Add(replyGrace); !fl.route.Idempotent || last.Before(end) {
+		end = last
+	}
+	time.AfterFunc(time.Until(end), fl.cancel)
+}
+
+// margin is the time before a limit at which the answer has to leave this VM: the caller's
+// clock started one way before the request arrived, and the answer takes another.
+func (fl *flight) margin() time.Duration {
+	return answerMargin + 2*fl.f.cfg.CallerDelay
+}
+
+// cutoff is the time at which an answer has to leave this VM to be there by the target.
+func (fl *flight) cutoff() time.Time {
+	return fl.target.Add(-fl.margin())
 }
 
 // gather answers with parts of the shards.
-func (fl *flight) gather(shards []string) Answer {
-	fl.start(shards)
+func (fl *flight) gather(shards []string, need int) Answer {
+	fl.start(shards, need)
 	defer fl.finish()
-	for _, p := range fl.parts {
-		fl.launch(p, false)
-	}
-	need := int(math.Ceil(fl.route.MinShare*float64(len(shards)) - 1e-9))
-	need = max(need, 1)
-	cutoff := fl.target.Add(-fl.margin())
-	last := fl.deadline.Add(-fl.margin())
+	fl.launchAll()
+	cutoff, last := fl.cutoff(), fl.deadline.Add(-fl.margin())
 	for {
 		whole, ended := fl.count()
 		now := time.Now()
@@ -148,10 +171,10 @@
 
 // single answers with the reply of one replica.
 func (fl *flight) single(service string) Answer {
-	fl.start([]string{service})
+	fl.start([]string{service}, 1)
 	defer fl.finish()
+	fl.launchAll()
 	p := fl.parts[0]
-	fl.launch(p, false)
 	last := fl.deadline.Add(-answerMargin)
 	for !p.ended {
 		if !time.Now().Before(last) {
@@ -167,16 +190,6 @@
 	return Answer{Status: p.reply.Status, Fields: p.reply.Fields, Body: p.reply.Body}
 }
 
-// margin is the time before a limit at which the answer has to leave this VM. On a new
-// connection the caller's clock has run for one round trip more.
-func (fl *flight) margin() time.Duration {
-	d := answerMargin + 2*fl.f.cfg.CallerDelay
-	if fl.r.NewConn {
-		d += 2 * fl.f.cfg.CallerDelay
-	}
-	return d
-}
-
 func (fl *flight) count() (whole, ended int) {
 	for _, p := range fl.parts {
 		if p.ended {
@@ -199,22 +212,16 @@
 	return wake
 }
 
-// wait takes in results until the next one or until wake. It returns false when the caller
-// has gone.
+// wait takes in the results that are there by the next one or by wake, and sends the hedges
+// that are due. It returns false when the caller has gone.
 func (fl *flight) wait(wake time.Time) bool {
 	timer := time.NewTimer(time.Until(wake))
 	defer timer.Stop()
 	select {
 	case r := <-fl.results:
 		fl.take(r)
-		for {
-			select {
-			case r := <-fl.results:
-				fl.take(r)
-				continue
-			default:
-			}
-			break
+		for len(fl.results) > 0 {
+			fl.take(<-fl.results)
 		}
 	case <-timer.C:
 	case <-fl.ctx.Done():
@@ -236,77 +243,54 @@
 	now := time.Now()
 	c, expect := fl.f.best(p.list, p.tried, p.work, now)
 	if reason := fl.decline(p, c, expect, hedge); reason != "" {
-		if p.open == 0 {
+		fl.f.metrics.declined.WithLabelValues(reason).Inc()
+		switch {
+		case p.open == 0:
 			fl.giveUp(p, reason)
+		case hedge && reason == reasonReserved && now.Add(hedgeAgain).Before(fl.cutoff()):
+			p.hedgeAt = now.Add(hedgeAgain)
 		}
 		return
 	}
 	p.tried = append(p.tried, c.ID)
 	t := &try{part: p, to: c, began: now, hedge: hedge}
+	p.tries = append(p.tries, t)
 	p.open++
 	if !hedge && p.ran == 0 && fl.route.Idempotent && fl.route.MaxAttempts > 1 {
 		p.hedgeAt = now.Add(fl.hedgeDelay(p, c, expect, now))
 	}
+	fl.f.metrics.sends.WithLabelValues(t.kind()).Inc()
 	fl.f.ranks.Begin(c.Key(), now)
 	go fl.send(t)
 }
 
-// decline returns the reason against another try, empty if there is none.
-func (fl *flight) decline(p *part, c *registrar.Candidate, expect ranker.Estimate, hedge bool) string {
+// kind is first, hedge or retry.
+func (t *try) kind() string {
 	switch {
-	case c == nil && len(p.tried) == 0:
-		return "no-replica"
-	case c == nil:
-		return "no-other-replica"
-	case p.ran+p.open >= max(fl.route.MaxAttempts, 1):
-		return "attempts"
-	case p.refused >= maxRefusals:
-		return "refused"
-	case hedge && expect.Ejected:
-		return "no-sound-replica"
-	case p.sent+p.open > 0 && !p.budget.Withdraw():
-		return "budget"
-	}
-	return ""
-}
-
-// hedgeDelay is the time after which a second replica is asked as well. It grows as the
-// budget empties, but leaves the second one its time before the target where it can.
-func (fl *flight) hedgeDelay(p *part, c *registrar.Candidate, expect ranker.Estimate, now time.Time) time.Duration {
-	if expect.Suspect {
-		return hedgeFloor
-	}
-	spent := 1 - p.budget.Fullness()
-	stretch := hedgeEager + (hedgeThrifty-hedgeEager)*spent
-	delay := expect.Mean + time.Duration(stretch*float64(expect.Deviation))
-	_, other := fl.f.best(p.list, []string{c.ID}, p.work, now)
-	latest := fl.target.Add(-fl.margin()).Sub(now) - other.Mean - 2*other.Deviation
-	if latest < delay && latest > expect.Mean {
-		delay = latest
+	case t.hedge:
+		return "hedge"
+	case len(t.part.tries) > 1:
+		return "retry"
 	}
-	return max(delay, hedgeFloor)
+	return "first"
 }
 
-const (
-	// hedgeFloor is the least delay of a hedge.
-	hedgeFloor = 3 * time.Millisecond
-	// hedgeEager and hedgeThrifty are the deviations above the mean after which a hedge is
-	// sent with a full and with an empty budget.
-	hedgeEager   = 1.5
-	hedgeThrifty = 5
-)
-
 // send runs in its own goroutine.
 func (fl *flight) send(t *try) {
 	m := Message{Request: fl.r, Deadline: fl.deadline, MaxConns: conns(fl.state, t.part.service)}
-	reply, err := fl.f.backend.Send(fl.tries, t.to, m, func() { t.sent = true })
+	reply, err := fl.f.backend.Send(fl.tries, t.to, m, func() { t.sent = time.Now() })
 	now := time.Now()
 	var load *ranker.Load
 	if reply != nil {
 		load = reply.Load
 	}
-	fl.f.ranks.End(t.to.Key(), t.part.work, t.began, now, fl.judge(reply, err), load)
-	fl.results <- result{try: t, reply: reply, err: err}
+	run := ranker.Run{Began: t.began, Outcome: fl.judge(reply, err), Load: load}
+	if !t.sent.IsZero() {
+		run.Took = now.Sub(t.sent)
+	}
+	change := fl.f.ranks.End(t.to.Key(), t.part.work, run, now)
+	fl.f.logChange(t, change, err)
+	fl.results <- result{try: t, reply: reply, err: err, at: now}
 }
 
 // judge says what the end of a try tells of its replica.
@@ -322,6 +306,8 @@
 		return ranker.Failed
 	case errors.Is(err, ErrBusy), fl.ctx.Err() != nil:
 		return ranker.Unjudged
+	case errors.Is(err, ErrSilent):
+		return ranker.Silent
 	}
 	return ranker.Dead
 }
@@ -331,7 +317,8 @@
 	p := r.try.part
 	p.open--
 	notRun := errors.Is(r.err, ErrUnsent) || errors.Is(r.err, ErrBusy) || (r.err == nil && (r.reply.NotRun || r.reply.Misdirected))
-	if r.try.sent {
+	r.try.took, r.try.end = r.at.Sub(r.try.began), ending(r)
+	if !r.try.sent.IsZero() {
 		p.sent++
 	}
 	if notRun {
@@ -361,60 +348,31 @@
 	fl.launch(p, false)
 }
 
-func (fl *flight) giveUp(p *part, reason string) {
-	p.ended, p.reason = true, reason
-}
-
-func (fl *flight) merge() Answer {
-	a := Answer{Status: http.StatusOK, Gathered: true}
-	bodies := make([][]byte, 0, len(fl.parts))
-	for _, p := range fl.parts {
-		if p.reply == nil {
-			a.Missing++
-			continue
-		}
-		bodies = append(bodies, p.reply.Body)
-		a.Stamps = append(a.Stamps, p.reply.Stamp)
-	}
-	a.Body = merger.Top(bodies, fl.route.Top)
-	return a
-}
-
-// failed is the answer to a request that can't be served any more.
-func (fl *flight) failed() Answer {
-	if !fl.mayHaveRun() {
-		return notRun(unknownRetry)
-	}
-	if r := fl.parts[0].failure; len(fl.route.Shards) == 0 && r != nil && mayPass(r) {
-		return Answer{Status: r.Status, Fields: r.Fields, Body: r.Body}
-	}
-	return Answer{Status: http.StatusBadGateway}
-}
-
-// mayHaveRun reports whether any replica may have begun to run the request.
-func (fl *flight) mayHaveRun() bool {
-	for _, p := range fl.parts {
-		if p.open > 0 {
-			return true
-		}
-	}
-	return fl.anyRan
-}
-
-// mayPass reports whether a replica's failure can go to the caller as it is. A status that
-// promises that the request has not run is not passed on for one that may have.
-func mayPass(r *Reply) bool {
-	switch r.Status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return false
-	}
-	return r.Stamp != "" && r.Status >= 400
+// ending is a word for how a try ended.
+func ending(r result) string {
+	switch {
+	case errors.Is(r.err, ErrUnsent):
+		return "not-sent"
+	case errors.Is(r.err, ErrBusy):
+		return "no-connection-free"
+	case errors.Is(r.err, ErrLost):
+		return "connection-lost"
+	case errors.Is(r.err, ErrBadReply):
+		return "bad-reply"
+	case errors.Is(r.err, ErrSilent):
+		return "silent"
+	case r.err != nil:
+		return "error"
+	case r.reply.Misdirected:
+		return "misdirected"
+	case r.reply.NotRun:
+		return "shed"
+	case !r.reply.Success():
+		return "failed"
+	}
+	return "served"
 }
 
-// timeout is the answer to a request whose time is over.
-func (fl *flight) timeout() Answer {
-	if !fl.mayHaveRun() {
-		return notRun(0)
-	}
-	return Answer{Status: http.StatusGatewayTimeout}
+func (fl *flight) giveUp(p *part, reason string) {
+	p.ended, p.reason = true, reason
 }
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/ebonylock/ebonylock/modules/budgeter"
 	"github.com/ebonylock/ebonylock/modules/ranker"
 	"github.com/ebonylock/ebonylock/modules/registrar"
@@ -22,6 +24,8 @@
 	RetrySlack float64
 	// CallerDelay is the time from a VM to a caller, one way.
 	CallerDelay time.Duration
+	// Log takes the lines that are kept first, Routine those of plain answers.
+	Log, Routine *logrus.Logger
 }
 
 const (
@@ -47,11 +51,14 @@
 	beliefs Beliefs
 	backend Backend
 	ranks   ranker.Ranker
+	metrics *metrics
+	// log and routine are those of the Config.
+	log, routine *logrus.Logger
 
 	mu      sync.Mutex
 	budgets map[string]*budgeter.Budget
-	// usual is the longest patience seen on each route.
-	usual map[string]time.Duration
+	// habits are those of the callers of each route.
+	habits map[string]*habit
 }
 
 // New returns a Forwarder.
@@ -60,8 +67,11 @@
 		cfg:     cfg,
 		beliefs: beliefs,
 		backend: backend,
+		metrics: newMetrics(),
+		log:     cfg.Log,
+		routine: cfg.Routine,
 		budgets: make(map[string]*budgeter.Budget),
-		usual:   make(map[string]time.Duration),
+		habits:  make(map[string]*habit),
 	}
 }
 
@@ -69,16 +79,21 @@
 func (f *Forwarder) Serve(ctx context.Context, r *Request) Answer {
 	state := f.beliefs.State()
 	if state == nil {
-		return notRun(unknownRetry)
+		a := notRun(unknownRetry)
+		f.record(nil, r, &a, outcomeNoConfig)
+		return a
 	}
 	m := state.Table.Match(r.Host, r.Path)
 	if m == nil {
-		return Answer{Status: http.StatusNotFound}
+		a := Answer{Status: http.StatusNotFound}
+		f.record(nil, r, &a, outcomeNoRoute)
+		return a
 	}
 	patience := r.Patience
 	if patience <= 0 {
 		patience = defaultPatience
 	}
+	used := f.used(m.Route, r, patience)
 	fl := &flight{
 		f:        f,
 		state:    state,
@@ -86,22 +101,34 @@
 		r:        r,
 		ctx:      ctx,
 		deadline: r.Arrived.Add(min(patience, m.Timeout)),
-		target:   r.Arrived.Add(m.Target - f.used(m.Route, patience)),
+		target:   r.Arrived.Add(m.Target - used),
+		used:     used,
 	}
-	if len(m.Shards) > 0 {
-		return fl.gather(m.Shards)
+	var a Answer
+	if n := len(m.Shards); n > 0 {
+		a = fl.gather(m.Shards, needed(m.MinShare, n))
+	} else {
+		a = fl.single(m.Service())
 	}
-	return fl.single(m.Service())
+	f.record(fl, r, &a, fl.outcome(&a))
+	return a
 }
 
-// used is the part of the target latency that earlier attempts of the caller took. A caller
-// that comes again has less patience left than it had at first.
-func (f *Forwarder) used(r *router.Route, patience time.Duration) time.Duration {
+// used is the part of the target latency that is gone as the request arrives: the caller has
+// opened a connection, or has made attempts before this one.
+func (f *Forwarder) used(r *router.Route, req *Request, patience time.Duration) time.Duration {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	usual := max(f.usual[r.Name], patience)
-	f.usual[r.Name] = usual
-	return usual - patience
+	h := f.habits[r.Name]
+	if h == nil {
+		h = &habit{}
+		f.habits[r.Name] = h
+	}
+	f.mu.Unlock()
+	used := max(h.observe(patience)-patience, 0)
+	if req.NewConn {
+		used = max(used, 2*f.cfg.CallerDelay)
+	}
+	return used
 }
 
 func notRun(after time.Duration) Answer {
--- a/services/forwarder/types.go
+++ b/services/forwarder/types.go
@@ -118,4 +118,6 @@
 type Beliefs interface {
 	// State returns nil while no configuration is known.
 	State() *State
+	// Fresh is the time at which the beliefs were last known to be up to date.
+	Fresh() time.Time
 }
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/ebonylock/ebonylock/modules/loader"
 	"github.com/ebonylock/ebonylock/modules/prober"
 	"github.com/ebonylock/ebonylock/modules/router"
+	"github.com/ebonylock/ebonylock/modules/spooler"
 	"github.com/ebonylock/ebonylock/platform/readier"
 	"github.com/ebonylock/ebonylock/platform/replica"
 	"github.com/ebonylock/ebonylock/platform/requester"
@@ -35,6 +37,8 @@
 	quiet = 700 * time.Millisecond
 	// endMargin is the part of the grace that is left for the end itself.
 	endMargin = 700 * time.Millisecond
+	// flushTimeout limits the wait for the last lines of the log.
+	flushTimeout = 100 * time.Millisecond
 	// lastCall is the time before the end after which new requests are refused.
 	lastCall = time.Second
 	// sweepInterval is the time between two looks for unused connections.
@@ -59,6 +63,7 @@
 type Daemon struct {
 	site     loader.Site
 	log      *logrus.Logger
+	spool    *spooler.Spooler
 	backend  replica.Client
 	follow   *follower.Follower
 	forward  *forwarder.Forwarder
@@ -74,15 +79,19 @@
 	stopOnce sync.Once
 }
 
-// New binds the daemon's addresses.
-func New(site loader.Site, log *logrus.Logger) (*Daemon, error) {
-	d := &Daemon{site: site, log: log, stop: make(chan struct{})}
+// New binds the daemon's addresses. Its log goes to out and never waits for it.
+func New(site loader.Site, out io.Writer) (*Daemon, error) {
+	d := &Daemon{site: site, spool: &spooler.Spooler{Out: out}, stop: make(chan struct{})}
+	log, routine := site.Log.Logger(d.spool.Important()), site.Log.Logger(d.spool.Routine())
+	d.log = log
 	d.follow = follower.New(store.Decoder{}, log)
 	d.forward = forwarder.New(forwarder.Config{
 		DataCentre:  site.VM.DataCentre,
 		RetryRatio:  site.Bounds.RetryRatio,
 		RetrySlack:  site.Bounds.RetrySlack,
 		CallerDelay: callerDelay,
+		Log:         log,
+		Routine:     routine,
 	}, d.follow, &d.backend)
 	if err := d.join(); err != nil {
 		return nil, err
@@ -243,6 +252,7 @@
 	}
 	d.gossip.Leave()
 	d.log.WithFields(logrus.Fields{"event": "stopped", "in-flight": d.callers.InFlight(), "took": time.Since(began).String()}).Info("graceful shutdown ended")
+	d.spool.Flush(flushTimeout)
 }
 
 // sweep drops what was not used for long.
--- a/services/launcher/sources.go
+++ b/services/launcher/sources.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
@@ -15,8 +16,19 @@
 	"github.com/ebonylock/ebonylock/services/replicator"
 )
 
-// readers is the number of VMs that read the store; the others follow these.
-const readers = 2
+const (
+	// readers is the number of VMs that read the store; the others follow these.
+	readers = 2
+	// reserves is the number of VMs that read it as soon as all readers are stale. The other
+	// VMs follow the reserves then, and read it themselves only if that fails.
+	reserves = 2
+	// readerRetry and othersRetry are the pauses of readers and reserves, and of other VMs,
+	// after the store failed.
+	readerRetry = 500 * time.Millisecond
+	othersRetry = 3 * time.Second
+	// reserveTime is the time that the reserves have before the other VMs read the store.
+	reserveTime = 400 * time.Millisecond
+)
 
 // guide chooses whom this VM follows. It implements follower.Guide.
 type guide struct {
@@ -69,28 +81,36 @@
 	}
 }
 
-// Sources implements follower.Guide. Each lane follows a reader of its own; a reader follows
-// the store on the first lane and the other reader on the second.
+// Sources implements follower.Guide. The first lane prefers the first reader, the second lane
+// the second one. A reader follows the store on the first lane and the other reader on the
+// second, so that the second lane of no VM pays for calls.
 func (g *guide) Sources(lane int) []follower.Named {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	store := follower.Named{Name: "store", Store: true, Source: g.store}
+	place := len(g.ranked)
 	var out []follower.Named
-	reader := len(g.ranked) < readers
-	for _, m := range g.ranked[:min(readers, len(g.ranked))] {
+	for i, m := range g.ranked[:min(readers+reserves, len(g.ranked))] {
 		if m.ID == g.self {
-			reader = true
+			place = i
 			continue
 		}
 		if s, ok := g.relay(m); ok {
 			out = append(out, s)
 		}
 	}
-	if len(out) > 1 && lane%2 == 1 {
-		slices.Reverse(out)
-	}
-	if reader && lane == 0 {
+	store := follower.Named{Name: "store", Store: true, Avoid: readerRetry, Source: g.store}
+	switch {
+	case lane > 0:
+		if len(out) > 1 && place >= readers {
+			out[0], out[1] = out[1], out[0]
+		}
+		return out
+	case place < readers || len(g.ranked) <= 1:
 		return append([]follower.Named{store}, out...)
+	case place < readers+reserves:
+		store.After = replicator.StaleAfter
+	default:
+		store.After, store.Avoid = replicator.StaleAfter+reserveTime, othersRetry
 	}
 	return append(out, store)
 }
--- a/services/replicator/replicator.go
+++ b/services/replicator/replicator.go
@@ -44,6 +44,10 @@
 	Changes(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
 }
 
+// StaleAfter is the age above which a copy may have missed a change that should be in force
+// within three seconds. A healthy copy of a copy is at most a second and a half old.
+const StaleAfter = 2 * time.Second
+
 // defaultHistory is the number of changes kept for followers.
 const defaultHistory = 2048
 
@@ -178,13 +182,14 @@
 	return b, nil
 }
 
-// Changes implements Source.
+// Changes implements Source. A stale copy answers at once, so that its followers look for
+// another one.
 func (c *Copy) Changes(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		b, changed, err := c.since(after)
-		if err != nil || len(b.Items) > 0 {
+		if err != nil || len(b.Items) > 0 || b.Age > StaleAfter {
 			return b, err
 		}
 		select {
