--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -13,7 +13,7 @@
 
 const (
 	// answerMargin is the time that this VM needs to put an answer together and send it.
-	answerMargin = 3 * time.Millisecond
+	answerMargin = 5 * time.Millisecond
 	// replyGrace is the time after the deadline for a replica to say that it has stopped.
 	replyGrace = 150 * time.Millisecond
 	// maxRefusals is the number of sends for a part that replicas may refuse or that never
