Connections opened ahead; hedges that are no longer needed are not sent

At the start of traffic 67 VMs opened their connections at once, each costs a replica 6 ms, so first tries looked slow, and hedges opened as many again elsewhere. Each VM now opens one connection to each replica of its own data centre as it appears, 40 a second; a try whose part has ended by the time its connection is open is not written, and its token comes back. Ruled out: processor time (0.0159 of 0.19 cores at most), a late reading of the request (it was answered 77 ms after it arrived). Tests of the decisions in virtual time, by load pattern.

--- a/modules/budgeter/window.go
+++ b/modules/budgeter/window.go
@@ -67,6 +67,17 @@
 	w.extra += n
 }
 
+// Refund takes back n extra tries that were accounted for and not made.
+func (w *Window) Refund(n float64, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.advance(now)
+	// What was accounted for in an earlier step stays there.
+	n = min(n, s.extra)
+	s.extra -= n
+	w.extra -= n
+}
+
 // Deposit accounts for n first tries.
 func (w *Window) Deposit(n int, now time.Time) {
 	w.mu.Lock()
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/ebonylock/ebonylock/modules/budgeter"
@@ -52,6 +53,8 @@
 	// ended is true once the part has a reply or is given up.
 	ended  bool
 	reason string
+	// over is set once no reply is needed any more; the senders of tries read it.
+	over atomic.Bool
 }
 
 // try is one send of a part.
@@ -60,6 +63,8 @@
 	to    *registrar.Candidate
 	began time.Time
 	hedge bool
+	// extra is the number of extra sends that were accounted for.
+	extra float64
 	// sent is the time at which the sender began to write; zero if it did not.
 	sent time.Time
 	// took and end are set when the flight takes in the result.
@@ -122,6 +127,7 @@
 func (fl *flight) finish() {
 	open := 0
 	for _, p := range fl.parts {
+		p.over.Store(true)
 		open += p.open
 	}
 	if open == 0 || fl.ctx.Err() != nil {
@@ -258,6 +264,9 @@
 	}
 	p.tried = append(p.tried, c.ID)
 	t := &try{part: p, to: c, began: now, hedge: hedge}
+	if p.sent+p.open > 0 {
+		t.extra = 1
+	}
 	p.tries = append(p.tries, t)
 	p.open++
 	if !hedge && p.ran == 0 && fl.route.Idempotent && fl.route.MaxAttempts > 1 {
@@ -282,7 +291,14 @@
 // send runs in its own goroutine.
 func (fl *flight) send(t *try) {
 	m := Message{Request: fl.r, Deadline: fl.deadline, MaxConns: t.part.conns}
-	reply, err := fl.f.backend.Send(fl.tries, t.to, m, func() { t.sent = time.Now() })
+	reply, err := fl.f.backend.Send(fl.tries, t.to, m, func() bool {
+		if t.part.over.Load() {
+			t.part.budget.Refund(t.extra, time.Now())
+			return false
+		}
+		t.sent = time.Now()
+		return true
+	})
 	now := time.Now()
 	var load *ranker.Load
 	if reply != nil {
@@ -308,7 +324,7 @@
 		return ranker.Shed
 	case err == nil, errors.Is(err, ErrBadReply):
 		return ranker.Failed
-	case errors.Is(err, ErrBusy), fl.ctx.Err() != nil:
+	case errors.Is(err, ErrBusy), errors.Is(err, ErrUnwanted), fl.ctx.Err() != nil:
 		return ranker.Unjudged
 	case errors.Is(err, ErrSilent):
 		return ranker.Silent
@@ -320,7 +336,7 @@
 func (fl *flight) take(r result) {
 	p := r.try.part
 	p.open--
-	notRun := errors.Is(r.err, ErrUnsent) || errors.Is(r.err, ErrBusy) || (r.err == nil && (r.reply.NotRun || r.reply.Misdirected))
+	notRun := unsent(r.err) || (r.err == nil && (r.reply.NotRun || r.reply.Misdirected))
 	r.try.took, r.try.end = r.at.Sub(r.try.began), ending(r)
 	if !r.try.sent.IsZero() {
 		p.sent++
@@ -336,6 +352,7 @@
 	}
 	if r.err == nil && r.reply.Success() {
 		p.reply, p.ended = r.reply, true
+		p.over.Store(true)
 		return
 	}
 	if r.err == nil && !notRun {
@@ -352,11 +369,18 @@
 	fl.launch(p, false)
 }
 
+// unsent reports whether err says that the replica got nothing.
+func unsent(err error) bool {
+	return errors.Is(err, ErrUnsent) || errors.Is(err, ErrBusy) || errors.Is(err, ErrUnwanted)
+}
+
 // ending is a word for how a try ended.
 func ending(r result) string {
 	switch {
 	case errors.Is(r.err, ErrUnsent):
 		return "not-sent"
+	case errors.Is(r.err, ErrUnwanted):
+		return "not-needed"
 	case errors.Is(r.err, ErrBusy):
 		return "no-connection-free"
 	case errors.Is(r.err, ErrLost):
@@ -379,4 +403,5 @@
 
 func (fl *flight) giveUp(p *part, reason string) {
 	p.ended, p.reason = true, reason
+	p.over.Store(true)
 }
--- /dev/null
+++ b/services/forwarder/forwarder_test.go
@@ -0,0 +1,552 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/ebonylock/ebonylock/modules/ranker"
+	"github.com/ebonylock/ebonylock/modules/registrar"
+	"github.com/ebonylock/ebonylock/modules/router"
+)
+
+// behaviour is how a fake replica answers: after a time, with a reply or an error.
+type behaviour struct {
+	after time.Duration
+	reply *Reply
+	err   error
+}
+
+// fakeBackend answers as a function of the replica says and counts what it got.
+type fakeBackend struct {
+	behave func(c *registrar.Candidate) behaviour
+
+	mu       sync.Mutex
+	sends    map[string]int
+	byShard  map[string]int
+	warmed   []string
+	canceled int
+	most     time.Duration
+}
+
+func (b *fakeBackend) Send(ctx context.Context, c *registrar.Candidate, m Message, wanted func() bool) (*Reply, error) {
+	b.mu.Lock()
+	if b.sends == nil {
+		b.sends, b.byShard = make(map[string]int), make(map[string]int)
+	}
+	b.sends[c.ID]++
+	b.byShard[c.Service]++
+	b.most = max(b.most, time.Until(m.Deadline))
+	how := b.behave(c)
+	b.mu.Unlock()
+	if !unsent(how.err) && !wanted() {
+		return nil, ErrUnwanted
+	}
+	select {
+	case <-time.After(how.after):
+		return how.reply, how.err
+	case <-ctx.Done():
+		b.mu.Lock()
+		b.canceled++
+		b.mu.Unlock()
+		return nil, ErrSilent
+	}
+}
+
+func (b *fakeBackend) Warm(_ context.Context, c *registrar.Candidate) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.warmed = append(b.warmed, c.ID)
+	return nil
+}
+
+func (b *fakeBackend) warmUps() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.warmed...)
+}
+
+func (b *fakeBackend) total() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, v := range b.sends {
+		n += v
+	}
+	return n
+}
+
+func served(after time.Duration) behaviour {
+	return behaviour{after: after, reply: &Reply{Status: http.StatusOK, Stamp: "stamp", Body: make([]byte, 16)}}
+}
+
+func shed() behaviour {
+	return behaviour{after: time.Millisecond, reply: &Reply{Status: http.StatusServiceUnavailable, NotRun: true}}
+}
+
+// silent never answers.
+func silent() behaviour {
+	return behaviour{after: time.Hour, err: ErrSilent}
+}
+
+type fixed struct {
+	state *State
+}
+
+func (f fixed) State() *State    { return f.state }
+func (f fixed) Fresh() time.Time { return time.Now() }
+
+const (
+	shards = 10
+	target = 80 * time.Millisecond
+)
+
+// site has ten shards and a single service, three replicas each in three data centres.
+func site(vms int) *State {
+	cfg := router.Config{Version: 7, Services: map[string]router.Service{}}
+	view := &registrar.View{Services: map[string][]*registrar.Candidate{}}
+	sweep := router.Route{
+		Name: "sweep", Host: "h", Prefix: "/sweep/", Idempotent: true, Timeout: 400 * time.Millisecond,
+		Target: target, MaxAttempts: 2, Top: 5, MinShare: 0.89,
+	}
+	port := uint16(1)
+	add := func(service string) {
+		cfg.Services[service] = router.Service{Name: service, MaxConns: 26}
+		for r := range 3 {
+			view.Services[service] = append(view.Services[service], &registrar.Candidate{Replica: registrar.Replica{
+				ID: fmt.Sprintf("%s/%d", service, r), Service: service, DataCentre: fmt.Sprintf("dc-%d", r),
+				Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port), Slots: 2,
+			}})
+			port++
+		}
+	}
+	for i := range shards {
+		name := fmt.Sprintf("shard-%d", i)
+		sweep.Shards = append(sweep.Shards, name)
+		add(name)
+	}
+	add("single")
+	single := router.Route{
+		Host: "h", Timeout: 1500 * time.Millisecond, Target: 250 * time.Millisecond,
+		MaxAttempts: 2, Shares: []router.Share{{Service: "single", Weight: 1}},
+	}
+	read, write := single, single
+	read.Name, read.Prefix, read.Idempotent = "read", "/read/", true
+	write.Name, write.Prefix = "write", "/write/"
+	cfg.Routes = []router.Route{sweep, read, write}
+	return &State{Table: router.New(cfg), View: view, VMs: vms}
+}
+
+func newForwarder(b *fakeBackend, first bool) *Forwarder {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(Config{
+		DataCentre: "dc-0", RetryRatio: 0.2, RetrySlack: 54, RetryWindow: 10 * time.Second, FirstStart: first,
+		CallerDelay: 3 * time.Millisecond, Log: log, Routine: log,
+	}, fixed{site(7)}, b)
+}
+
+func request(path string, patience time.Duration) *Request {
+	return &Request{ID: "id", Method: http.MethodGet, Target: path, Path: path, Host: "h", Arrived: time.Now(), Patience: patience}
+}
+
+// run plays a test in virtual time with a backend.
+func run(t *testing.T, first bool, behave func(c *registrar.Candidate) behaviour, play func(is *is.I, f *Forwarder, b *fakeBackend)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b := &fakeBackend{behave: behave}
+		defer func() {
+			// Tries that nobody waits for end by their deadline.
+			time.Sleep(time.Minute)
+			synctest.Wait()
+		}()
+		play(is.New(t), newForwarder(b, first), b)
+	})
+}
+
+// sweep sends one gathered request and returns its answer and how long it took.
+func sweep(f *Forwarder) (Answer, time.Duration) {
+	r := request("/sweep/x", 400*time.Millisecond)
+	a := f.Serve(context.Background(), r)
+	return a, time.Since(r.Arrived)
+}
+
+func TestGatherWhole(t *testing.T) {
+	run(t, true, func(*registrar.Candidate) behaviour { return served(7 * time.Millisecond) }, func(is *is.I, f *Forwarder, b *fakeBackend) {
+		a, took := sweep(f)
+		is.Equal(a.Status, http.StatusOK)
+		is.Equal(a.Missing, 0)
+		is.Equal(len(a.Stamps), shards)
+		is.Equal(len(a.Body), 5*16)
+		is.Equal(took, 7*time.Millisecond)
+		is.Equal(b.total(), shards)
+		is.True(b.most <= 400*time.Millisecond)
+		for id := range b.sends {
+			is.Equal(id[len(id)-1], byte('0')) // all from the own data centre
+		}
+	})
+}
+
+// TestStragglersOfManyShards is the pattern of replicas of many shards that turn slow: each
+// shard's first choice is slow, and a hedge saves the part.
+func TestStragglersOfManyShards(t *testing.T) {
+	run(t, true, func(c *registrar.Candidate) behaviour {
+		if c.DataCentre == "dc-0" {
+			return served(90 * time.Millisecond)
+		}
+		return served(8 * time.Millisecond)
+	}, func(is *is.I, f *Forwarder, _ *fakeBackend) {
+		a, took := sweep(f)
+		is.Equal(a.Missing, 0)
+		is.True(took < target)
+		a, took = sweep(f) // what is known to be slow is not asked first again
+		is.Equal(a.Missing, 0)
+		is.True(took < 40*time.Millisecond)
+	})
+}
+
+// TestAnswerAtTheTarget is the pattern of one shard that hangs whole: the answer leaves in
+// time for the target without it.
+func TestAnswerAtTheTarget(t *testing.T) {
+	run(t, true, func(c *registrar.Candidate) behaviour {
+		if c.Service == "shard-3" {
+			return silent()
+		}
+		return served(7 * time.Millisecond)
+	}, func(is *is.I, f *Forwarder, _ *fakeBackend) {
+		a, took := sweep(f)
+		is.Equal(a.Status, http.StatusOK)
+		is.Equal(a.Missing, 1)
+		is.True(took <= target-2*3*time.Millisecond)
+		is.True(took > target/2) // it waited for the part as long as that could help
+	})
+}
+
+// TestDeadShardCostsOnePart is the pattern of a shard that is all down for long: once known,
+// its parts are not waited for.
+func TestDeadShardCostsOnePart(t *testing.T) {
+	run(t, true, func(c *registrar.Candidate) behaviour {
+		if c.Service == "shard-3" {
+			return behaviour{after: time.Millisecond, err: ErrUnsent}
+		}
+		return served(7 * time.Millisecond)
+	}, func(is *is.I, f *Forwarder, b *fakeBackend) {
+		known := 0
+		for i := range 100 {
+			if i == 30 {
+				known = b.byShard["shard-3"]
+			}
+			a, took := sweep(f)
+			is.Equal(a.Status, http.StatusOK)
+			is.Equal(a.Missing, 1)
+			is.True(took < 20*time.Millisecond)
+			time.Sleep(20 * time.Millisecond)
+		}
+		is.True(b.byShard["shard-3"]-known < 20) // tried again now and then
+	})
+}
+
+// TestTwoDeadShardsAreRefusedAtOnce is the pattern of more shards down than an answer may lack:
+// the caller is told at once, and truly, that nothing ran.
+func TestTwoDeadShardsAreRefusedAtOnce(t *testing.T) {
+	run(t, true, func(c *registrar.Candidate) behaviour {
+		if c.Service == "shard-3" || c.Service == "shard-4" {
+			return behaviour{after: time.Millisecond, err: ErrUnsent}
+		}
+		return served(7 * time.Millisecond)
+	}, func(is *is.I, f *Forwarder, b *fakeBackend) {
+		for range 30 {
+			sweep(f)
+			time.Sleep(20 * time.Millisecond)
+		}
+		before := b.total()
+		a, took := sweep(f)
+		is.Equal(a.Status, http.StatusServiceUnavailable)
+		is.True(a.RetryAfter > 0)
+		is.Equal(took, time.Duration(0))
+		is.Equal(b.total(), before) // nothing was sent
+	})
+}
+
+// TestBackFromTheDead is the same shard once it is up again.
+func TestBackFromTheDead(t *testing.T) {
+	var mu sync.Mutex
+	up := false
+	run(t, true, func(c *registrar.Candidate) behaviour {
+		mu.Lock()
+		defer mu.Unlock()
+		if c.Service == "shard-3" && !up {
+			return behaviour{after: time.Millisecond, err: ErrUnsent}
+		}
+		return served(7 * time.Millisecond)
+	}, func(is *is.I, f *Forwarder, _ *fakeBackend) {
+		for range 100 {
+			sweep(f)
+			time.Sleep(20 * time.Millisecond)
+		}
+		mu.Lock()
+		up = true
+		mu.Unlock()
+		back := time.Now()
+		for {
+			if a, _ := sweep(f); a.Missing == 0 {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		is.True(time.Since(back) < 2*time.Second)
+	})
+}
+
+// TestExtraSendsStayInTheBudget is the pattern of a fleet-wide slowdown: however many parts
+// are late, the extra sends to each shard stay within the VM's share of the rule.
+func TestExtraSendsStayInTheBudget(t *testing.T) {
+	run(t, true, func(*registrar.Candidate) behaviour { return served(70 * time.Millisecond) }, func(is *is.I, f *Forwarder, b *fakeBackend) {
+		const n = 80
+		for range n {
+			sweep(f)
+			time.Sleep(20 * time.Millisecond)
+		}
+		for s, sends := range b.byShard {
+			extra := float64(sends - n)
+			if extra > 0.2*n+54.0/7 {
+				t.Fatalf("%s: %v extra sends for %d requests", s, extra, n)
+			}
+		}
+	})
+}
+
+// TestBudgetIsKeptForPivotalParts is the pattern of a grey shard that sheds most of its
+// requests beside another that is slow: with the budget low, tries go to the part without
+// which there would be no answer.
+func TestBudgetIsKeptForPivotalParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &fakeBackend{behave: func(*registrar.Candidate) behaviour { return served(time.Millisecond) }}
+		f := newForwarder(b, false)
+		fl := &flight{f: f, state: f.beliefs.State(), route: f.beliefs.State().Table.Match("h", "/sweep/").Route,
+			r: request("/sweep/", time.Second), ctx: t.Context(), deadline: time.Now().Add(time.Second)}
+		fl.start([]string{"shard-0", "shard-1"}, 1)
+		defer fl.cancel()
+		now := time.Now()
+		p, other := fl.parts[0], fl.parts[1]
+		p.budget.Deposit(10, now) // the slack is taken for spent, the ratio is not
+		p.sent, p.ran = 1, 1
+		c, expect := f.best(p.list, nil, p.work, p.conns, now)
+		is.Equal(fl.decline(p, c, expect, false, now), reasonReserved)
+		fl.giveUp(other, reasonUnsound)
+		is.Equal(fl.decline(p, c, expect, false, now), "")
+	})
+}
+
+// TestSlowShardIsLeftAndTriedAgain is the pattern of a shard whose replicas are all slower than
+// the target: it is left out without work, and asked again now and then.
+func TestSlowShardIsLeftAndTriedAgain(t *testing.T) {
+	var mu sync.Mutex
+	slow := true
+	run(t, true, func(c *registrar.Candidate) behaviour {
+		mu.Lock()
+		defer mu.Unlock()
+		if c.Service == "shard-3" && slow {
+			return served(150 * time.Millisecond)
+		}
+		return served(7 * time.Millisecond)
+	}, func(is *is.I, f *Forwarder, b *fakeBackend) {
+		for range 100 {
+			a, _ := sweep(f)
+			is.Equal(a.Status, http.StatusOK)
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(b.byShard["shard-3"] < 80) // 100 requests
+		mu.Lock()
+		slow = false
+		mu.Unlock()
+		healed := time.Now()
+		for {
+			if a, _ := sweep(f); a.Missing == 0 {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(time.Since(healed) < 2*time.Second)
+	})
+}
+
+func TestCallerLeaves(t *testing.T) {
+	run(t, true, func(*registrar.Candidate) behaviour { return silent() }, func(is *is.I, f *Forwarder, b *fakeBackend) {
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(30*time.Millisecond, leave)
+		began := time.Now()
+		f.Serve(ctx, request("/sweep/x", 400*time.Millisecond))
+		is.Equal(time.Since(began), 30*time.Millisecond)
+		synctest.Wait()
+		is.Equal(b.canceled, b.total()) // no replica works on
+	})
+}
+
+// TestSingle tells for each way that a first try ends whether a second one follows and what
+// the caller gets.
+func TestSingle(t *testing.T) {
+	stamped := func(status int) behaviour {
+		return behaviour{after: time.Millisecond, reply: &Reply{Status: status, Stamp: "stamp", Body: []byte("why")}}
+	}
+	for _, tc := range []struct {
+		name              string
+		first             behaviour
+		read, write       int
+		readSent, writing int
+	}{
+		{"served", served(time.Millisecond), 200, 200, 1, 1},
+		{"shed", shed(), 200, 200, 2, 2},
+		{"never sent", behaviour{after: time.Millisecond, err: ErrUnsent}, 200, 200, 2, 2},
+		{"connection lost", behaviour{after: time.Millisecond, err: ErrLost}, 200, 502, 2, 1},
+		{"bad reply", behaviour{after: time.Millisecond, err: ErrBadReply}, 200, 502, 2, 1},
+		{"misdirected", behaviour{after: time.Millisecond, reply: &Reply{Status: 421, Misdirected: true}}, 200, 200, 2, 2},
+		{"failed", stamped(500), 200, 500, 2, 1},
+		{"refusal that may have run", stamped(503), 200, 502, 2, 1},
+		{"success without receipt", behaviour{after: time.Millisecond, reply: &Reply{Status: 200, Body: []byte("x")}}, 200, 502, 2, 1},
+	} {
+		for _, kind := range []string{"read", "write"} {
+			t.Run(tc.name+" "+kind, func(t *testing.T) {
+				n := 0
+				run(t, true, func(*registrar.Candidate) behaviour {
+					if n++; n == 1 {
+						return tc.first
+					}
+					return served(time.Millisecond)
+				}, func(is *is.I, f *Forwarder, b *fakeBackend) {
+					a := f.Serve(context.Background(), request("/"+kind+"/x", 1500*time.Millisecond))
+					want, sent := tc.read, tc.readSent
+					if kind == "write" {
+						want, sent = tc.write, tc.writing
+					}
+					is.Equal(a.Status, want)
+					is.Equal(b.total(), sent)
+				})
+			})
+		}
+	}
+}
+
+// TestNonIdempotentIsNeverHedged holds a slow replica against every temptation to send twice.
+func TestNonIdempotentIsNeverHedged(t *testing.T) {
+	run(t, true, func(*registrar.Candidate) behaviour { return silent() }, func(is *is.I, f *Forwarder, b *fakeBackend) {
+		a := f.Serve(context.Background(), request("/write/x", 300*time.Millisecond))
+		is.Equal(a.Status, http.StatusGatewayTimeout)
+		is.Equal(b.total(), 1)
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	run(t, true, func(*registrar.Candidate) behaviour { return shed() }, func(is *is.I, f *Forwarder, _ *fakeBackend) {
+		a := f.Serve(context.Background(), request("/none/", time.Second))
+		is.Equal(a.Status, http.StatusNotFound)
+		a = f.Serve(context.Background(), request("/write/", time.Second))
+		is.Equal(a.Status, http.StatusServiceUnavailable) // all replicas said that it did not run
+		is.True(a.RetryAfter > 0)
+		g := New(f.cfg, fixed{}, &fakeBackend{})
+		is.Equal(g.Serve(context.Background(), request("/read/", time.Second)).Status, http.StatusServiceUnavailable)
+	})
+}
+
+// TestComingAgain is the pattern of a caller whose first attempt failed: what is left of the
+// target is less, and the answer leaves the earlier.
+func TestComingAgain(t *testing.T) {
+	run(t, true, func(c *registrar.Candidate) behaviour {
+		if c.Service == "shard-3" {
+			return silent()
+		}
+		return served(7 * time.Millisecond)
+	}, func(is *is.I, f *Forwarder, _ *fakeBackend) {
+		_, first := sweep(f)
+		r := request("/sweep/x", 370*time.Millisecond)
+		a := f.Serve(context.Background(), r)
+		is.Equal(a.Status, http.StatusOK)
+		is.Equal(first-time.Since(r.Arrived), 30*time.Millisecond)
+	})
+}
+
+func TestHabit(t *testing.T) {
+	is := is.New(t)
+	var h habit
+	for range 20 {
+		h.observe(400 * time.Millisecond)
+	}
+	is.Equal(h.observe(393*time.Millisecond), 400*time.Millisecond)
+	is.Equal(h.observe(900*time.Millisecond), 400*time.Millisecond) // one patient caller
+	for range 2000 {
+		h.observe(300 * time.Millisecond)
+	}
+	is.Equal(h.observe(393*time.Millisecond), 300*time.Millisecond) // the operator changed it
+	for i := range 1000 {
+		h.observe(time.Duration(i) * time.Second)
+	}
+	is.True(len(h.counts) <= maxHabits+1)
+}
+
+func TestNeeded(t *testing.T) {
+	is := is.New(t)
+	is.Equal(needed(0.89, 10), 9)
+	is.Equal(needed(0.75, 10), 8)
+	is.Equal(needed(0.89, 15), 14)
+	is.Equal(needed(0.8, 10), 8)
+	is.Equal(needed(0, 10), 1)
+	is.Equal(needed(1, 3), 3)
+}
+
+func TestShareOfConnections(t *testing.T) {
+	is := is.New(t)
+	s := site(7)
+	is.Equal(conns(s, "shard-0"), 3) // 26 for 7 VMs
+	s.VMs = 67
+	is.Equal(conns(s, "shard-0"), 1)
+	is.Equal(conns(s, "unknown"), defaultConns)
+}
+
+var _ Backend = (*fakeBackend)(nil)
+
+// TestJudge tells what each end of a try says of its replica.
+func TestJudge(t *testing.T) {
+	is := is.New(t)
+	fl := &flight{ctx: context.Background()}
+	is.Equal(fl.judge(served(0).reply, nil), ranker.Served)
+	is.Equal(fl.judge(shed().reply, nil), ranker.Shed)
+	is.Equal(fl.judge(&Reply{Status: 421, Misdirected: true}, nil), ranker.Dead)
+	is.Equal(fl.judge(&Reply{Status: 500, Stamp: "s"}, nil), ranker.Failed)
+	is.Equal(fl.judge(nil, ErrBadReply), ranker.Failed)
+	is.Equal(fl.judge(nil, ErrSilent), ranker.Silent)
+	is.Equal(fl.judge(nil, ErrBusy), ranker.Unjudged)
+	is.Equal(fl.judge(nil, ErrLost), ranker.Dead)
+}
+
+// TestWarmOwnDataCentre checks that connections are opened ahead, one for each replica of the
+// own data centre, and spread over time.
+func TestWarmOwnDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &fakeBackend{}
+		f := newForwarder(b, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Warm(ctx)
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		n := len(b.warmUps())
+		is.True(n > 0 && n < shards)
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		is.Equal(len(b.warmUps()), shards+1)
+		for _, id := range b.warmUps() {
+			is.Equal(id[len(id)-1], byte('0'))
+		}
+	})
+}
--- a/services/forwarder/types.go
+++ b/services/forwarder/types.go
@@ -17,6 +17,8 @@
 	ErrUnsent = errors.New("request not sent")
 	// ErrBusy says that every connection that may be held to the replica is in use.
 	ErrBusy = errors.New("no connection free")
+	// ErrUnwanted says that nothing was sent, as the reply was no longer needed.
+	ErrUnwanted = errors.New("request no longer needed")
 	// ErrLost says that the connection broke before a whole reply; the request may have run.
 	ErrLost = errors.New("connection lost")
 	// ErrBadReply says that what came back is not a reply to this request; it may have run.
@@ -98,10 +100,12 @@
 
 // Backend sends to replicas.
 type Backend interface {
-	// Send sends m to a replica and waits for its reply until ctx ends. sent is called when
-	// the request is about to be written. Errors match ErrUnsent, ErrBusy (nothing was sent),
-	// ErrLost, ErrBadReply or ErrSilent.
-	Send(ctx context.Context, c *registrar.Candidate, m Message, sent func()) (*Reply, error)
+	// Send sends m to a replica and waits for its reply until ctx ends. wanted is called when
+	// the request is about to be written; if it returns false, nothing is. Errors match
+	// ErrUnsent, ErrBusy (nothing was sent), ErrLost, ErrBadReply or ErrSilent.
+	Send(ctx context.Context, c *registrar.Candidate, m Message, wanted func() bool) (*Reply, error)
+	// Warm opens a connection to a replica if there is none.
+	Warm(ctx context.Context, c *registrar.Candidate) error
 }
 
 // State is what a VM believes at one moment. It never changes.
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -219,6 +219,7 @@
 	go d.follow.Follow(ctx, readers, &d.guide)
 	go d.follow.Sweep(ctx)
 	go d.sweep(ctx)
+	go d.forward.Warm(ctx)
 	d.log.WithFields(logrus.Fields{"event": "start", "vm": d.site.VM.ID, "callers": d.site.Requests.Listen.String()}).Info("VM started")
 	select {
 	case err := <-failed:
