--- a/modules/ranker/ranker.go
+++ b/modules/ranker/ranker.go
@@ -15,11 +15,18 @@
 	shards = 32
 	// gain is the weight of a new run in the moving averages.
 	gain = 0.2
+	// fast is the share of the mean below which a run shows that the replica is no longer as
+	// slow as believed; it has the weight fastGain.
+	fast     = 0.5
+	fastGain = 0.6
 	// clip bounds one run's weight in the averages, as a multiple of the mean, so that a
 	// single pause does not condemn a replica while a series of slow runs does.
 	clip = 4
 	// recovery is the half-life of a belief that a replica is slower than its service.
 	recovery = 1500 * time.Millisecond
+	// optimism is the share of the service's mean that this belief falls to, so that a replica
+	// that was left is tried again.
+	optimism = 0.8
 	// failHalfLife is the half-life of the share of failures.
 	failHalfLife = 2 * time.Second
 	// loadHalfLife is the half-life of the load that a replica told.
@@ -161,6 +168,9 @@
 	v = min(v, clip*a.mean)
 	// The first runs weigh more, so that the start does not linger.
 	g := max(gain, 1/float64(a.runs))
+	if v < fast*a.mean {
+		g = max(g, fastGain)
+	}
 	a.deviation += g * (math.Abs(v-a.mean) - a.deviation)
 	a.mean += g * (v - a.mean)
 }
@@ -332,9 +342,9 @@
 	if a := e.works[w]; a != nil && a.runs > 0 {
 		mean, deviation = a.mean, a.deviation
 		out.Runs, out.Seen = a.runs, a.at
-		if mean > prior.mean {
+		if hope := optimism * prior.mean; mean > hope {
 			back := decay(now.Sub(a.at), recovery)
-			mean = prior.mean + (mean-prior.mean)*back
+			mean = hope + (mean-hope)*back
 			deviation = prior.deviation + (deviation-prior.deviation)*back
 		}
 	}
--- /dev/null
+++ b/modules/ranker/ranker_test.go
@@ -0,0 +1,197 @@
+package ranker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	work  = Work{Service: "s", Target: 80 * time.Millisecond}
+)
+
+// end is the end of a run that is under way.
+type end struct {
+	at  time.Time
+	id  string
+	run Run
+}
+
+// distance is what the forwarder adds for a replica of another data centre: a fifth of the target.
+const distance = 16 * time.Millisecond
+
+// player is one VM that sends a request each 10 ms to the replica with the least expectation,
+// out of three, of which a is in its own data centre.
+type player struct {
+	r    Ranker
+	now  time.Time
+	open []end
+}
+
+// play sends n requests and returns how many went to each replica. behave gives the end of a
+// run at a replica.
+func (p *player) play(n int, behave func(id string, at time.Time) (time.Duration, Outcome)) map[string]int {
+	sent := make(map[string]int)
+	for range n {
+		p.now = p.now.Add(10 * time.Millisecond)
+		kept := p.open[:0]
+		for _, e := range p.open {
+			if e.at.After(p.now) {
+				kept = append(kept, e)
+				continue
+			}
+			p.r.End(e.id, work, e.run, e.at)
+		}
+		p.open = kept
+		best := ""
+		var lowest time.Duration
+		for _, id := range []string{"a", "b", "c"} {
+			cost := p.r.Estimate(id, 2, work, p.now).Expected
+			if id != "a" {
+				cost += distance
+			}
+			if best == "" || cost < lowest {
+				best, lowest = id, cost
+			}
+		}
+		sent[best]++
+		p.r.Begin(best, p.now)
+		took, o := behave(best, p.now)
+		p.open = append(p.open, end{p.now.Add(took), best, Run{Began: p.now, Took: took, Outcome: o}})
+	}
+	return sent
+}
+
+func sound(id string, _ time.Time) (time.Duration, Outcome) {
+	return map[string]time.Duration{"a": 6, "b": 7, "c": 8}[id] * time.Millisecond, Served
+}
+
+// TestBehaviours gives for each way that a replica goes wrong how many of the next 300 requests
+// (3 s) still go to it, and how many in the 3 s after it is well again.
+func TestBehaviours(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		took   time.Duration
+		end    Outcome
+		during int
+		after  int
+	}{
+		{"slow", 80 * time.Millisecond, Served, 20, 50},
+		{"very slow", 300 * time.Millisecond, Served, 20, 20},
+		{"silent", 400 * time.Millisecond, Silent, 20, 20},
+		{"refuses connections", time.Millisecond, Dead, 20, 50},
+		{"fails", 5 * time.Millisecond, Failed, 30, 20},
+		{"sheds", time.Millisecond, Shed, 40, 50},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			p := player{now: start}
+			before := p.play(300, sound)
+			is.True(before["a"] > 100) // the fastest gets most
+			during := p.play(300, func(id string, at time.Time) (time.Duration, Outcome) {
+				if id == "a" {
+					return tc.took, tc.end
+				}
+				return sound(id, at)
+			})
+			after := p.play(300, sound)
+			t.Logf("of 300 each: %d before, %d during, %d after", before["a"], during["a"], after["a"])
+			is.True(during["a"] <= tc.during)
+			is.True(after["a"] >= tc.after)
+		})
+	}
+}
+
+// TestPauseCostsLittle is the pattern of a replica that pauses for 100 ms: no more work while it
+// lasts, and its place back soon after.
+func TestPauseCostsLittle(t *testing.T) {
+	is := is.New(t)
+	p := player{now: start}
+	p.play(300, sound)
+	from := p.now
+	during := p.play(10, func(id string, at time.Time) (time.Duration, Outcome) {
+		if id == "a" {
+			return from.Add(100*time.Millisecond).Sub(at) + 6*time.Millisecond, Served
+		}
+		return sound(id, at)
+	})
+	is.True(during["a"] <= 4)
+	after := p.play(200, sound)
+	is.True(after["a"] > 50)
+}
+
+// TestFalseEjections counts ejections of sound replicas of which one in 30 runs loses its
+// connection: none stays away for longer than the first pause.
+func TestFalseEjections(t *testing.T) {
+	is := is.New(t)
+	var r Ranker
+	n, ejected := 0, 0
+	now := start
+	for range 3000 {
+		now = now.Add(10 * time.Millisecond)
+		r.Begin("a", now)
+		n++
+		o := Served
+		if n%30 == 0 {
+			o = Dead
+		}
+		end := now.Add(5 * time.Millisecond)
+		r.End("a", work, Run{Began: now, Took: 5 * time.Millisecond, Outcome: o}, end)
+		if r.Estimate("a", 2, work, end).Dead {
+			ejected++
+		}
+	}
+	is.Equal(ejected, 0) // a single sign never counts as death
+}
+
+func TestDeathNeedsSilenceToAll(t *testing.T) {
+	is := is.New(t)
+	var r Ranker
+	r.Begin("a", start)
+	r.Begin("a", start.Add(time.Millisecond))
+	r.End("a", work, Run{Began: start.Add(time.Millisecond), Took: 5 * time.Millisecond, Outcome: Served}, start.Add(6*time.Millisecond))
+	// The first run gets no reply, but the replica lives.
+	is.Equal(r.End("a", work, Run{Began: start, Took: 300 * time.Millisecond, Outcome: Silent}, start.Add(300*time.Millisecond)), None)
+	at := start.Add(time.Second)
+	r.Begin("a", at)
+	is.Equal(r.End("a", work, Run{Began: at, Outcome: Silent}, at.Add(300*time.Millisecond)), Ejection)
+	is.True(r.Estimate("a", 2, work, at.Add(310*time.Millisecond)).Ejected)
+	r.Begin("a", at.Add(time.Second))
+	is.Equal(r.End("a", work, Run{Began: at.Add(time.Second), Took: 1, Outcome: Served}, at.Add(time.Second+1)), Return)
+	is.True(!r.Estimate("a", 2, work, at.Add(2*time.Second)).Suspect)
+}
+
+func TestOneTrialAtATime(t *testing.T) {
+	is := is.New(t)
+	var r Ranker
+	now := start
+	for range 3 {
+		r.Begin("a", now)
+		r.End("a", work, Run{Began: now, Outcome: Dead}, now)
+		now = now.Add(2 * time.Second)
+	}
+	is.True(!r.Estimate("a", 2, work, now).Ejected) // its time is over: one may try
+	r.Begin("a", now)
+	e := r.Estimate("a", 2, work, now)
+	is.True(e.Ejected && e.Dead && e.Running == 1)
+}
+
+func TestForget(t *testing.T) {
+	is := is.New(t)
+	var r Ranker
+	for i := range 100 {
+		id := fmt.Sprint(i)
+		r.Begin(id, start)
+		r.End(id, work, Run{Began: start, Took: time.Millisecond, Outcome: Served}, start)
+	}
+	r.Begin("running", start)
+	r.Forget(start.Add(time.Second))
+	n := 0
+	for i := range r.shards {
+		n += len(r.shards[i].replicas)
+	}
+	is.Equal(n, 1)
+}
