Readers of the store are the VMs with the fastest links; what they pass on is compressed

The VM was a reader of the store with a link of 20 Mbit/s, and a configuration of 20 kB went to 66 followers: half a second of its link. Members now tell the speed of their link and the fastest are readers; a batch is compressed once for all followers. Besides: the line of a request is written after its answer is on its way; 105 wake-ups a second of timers are 20; estimates and keys are computed once. Ruled out: processor time of the process, the dialling of connections.

--- a/Makefile
+++ b/Makefile
@@ -33,12 +33,12 @@
 	$(GO) test -race -count=1 -timeout 20m $(SKIP) ./tests/path
 
 lint:
-	@unformatted=$$($(GO) tool gofumpt -l cmd modules routers services tests tools); \
+	@unformatted=$$($(GO) tool gofumpt -l cmd modules platform routers services tests tools); \
 	if [ -n "$$unformatted" ]; then echo "not formatted by gofumpt:"; echo "$$unformatted"; exit 1; fi
 	$(GO) tool revive -set_exit_status ./...
 
 fmt:
-	$(GO) tool gofumpt -w cmd modules routers services tests tools
+	$(GO) tool gofumpt -w cmd modules platform routers services tests tools
 
 vet:
 	$(GO) vet ./...
--- a/modules/loader/vm.go
+++ b/modules/loader/vm.go
@@ -6,11 +6,14 @@
 	ID string
 	// DataCentre is the name of the data centre that holds the VM.
 	DataCentre string
+	// LinkMbps is the speed of its network link in Mbit/s; 0 if unknown.
+	LinkMbps float64
 }
 
 func (s *VM) section() section {
 	return section{
 		"id":          text(&s.ID, true),
 		"data-centre": text(&s.DataCentre, true),
+		"link-mbps":   number(&s.LinkMbps, 0, 1<<20),
 	}
 }
--- a/modules/prober/codec.go
+++ b/modules/prober/codec.go
@@ -29,6 +29,7 @@
 	fieldCounter     = 8
 	fieldState       = 9
 	fieldDraining    = 10
+	fieldCapacity    = 11
 )
 
 // maxUpdates limits the members in one packet.
@@ -62,6 +63,7 @@
 	if m.Draining {
 		b = encoder.AppendVarint(b, fieldDraining, 1)
 	}
+	b = encoder.AppendVarint(b, fieldCapacity, m.Capacity)
 	return b
 }
 
@@ -127,6 +129,8 @@
 			m.State = State(v)
 		case fieldDraining:
 			m.Draining = v != 0
+		case fieldCapacity:
+			m.Capacity = v
 		}
 		return nil
 	})
--- a/modules/prober/prober.go
+++ b/modules/prober/prober.go
@@ -47,6 +47,8 @@
 	State   State
 	// Draining is true once the member takes no new ownership.
 	Draining bool
+	// Capacity is the speed of the VM's network link in Mbit/s; 0 if unknown.
+	Capacity uint64
 }
 
 // overrides reports whether m is newer than old.
--- a/modules/ranker/ranker.go
+++ b/modules/ranker/ranker.go
@@ -89,6 +89,8 @@
 	Expected time.Duration
 	// Mean and Deviation are those of the replica's runs; those of its service if it had none.
 	Mean, Deviation time.Duration
+	// Usual is the mean of all runs of the service.
+	Usual time.Duration
 	// Runs is the number of its runs that were measured, the last one at Seen.
 	Runs int
 	Seen time.Time
@@ -355,6 +357,7 @@
 	expected += e.overdue(mean+overdueDeviations*deviation, now)
 	expected += e.failing(now) * w.Target.Seconds()
 	out.Expected, out.Mean, out.Deviation = seconds(expected), seconds(mean), seconds(deviation)
+	out.Usual = seconds(prior.mean)
 	out.Running, out.Suspect = len(e.starts), e.deaths > 0
 	// One run at a time tries whether a suspect is back.
 	out.Ejected = e.deaths > 0 && (now.Before(e.ejectedUntil) || len(e.starts) > 0)
--- a/modules/registrar/registrar.go
+++ b/modules/registrar/registrar.go
@@ -34,6 +34,8 @@
 // Candidate is a Replica that may be used.
 type Candidate struct {
 	Replica
+	// Key names the start, also where an ID is used again.
+	Key string
 	// Fading is true while the entry is missing but may come back; it is a last resort.
 	Fading bool
 }
@@ -126,7 +128,7 @@
 		if e.Born.Before(taken[e.Addr]) {
 			continue
 		}
-		c := &Candidate{Replica: e.Replica, Fading: !e.missing.IsZero()}
+		c := &Candidate{Replica: e.Replica, Key: e.key(), Fading: !e.missing.IsZero()}
 		v.Services[e.Service] = append(v.Services[e.Service], c)
 	}
 	for _, list := range v.Services {
@@ -135,7 +137,7 @@
 	return v
 }
 
-// Key names one start of a replica at its place, also where an ID is used again.
-func (r Replica) Key() string {
+// key names one start of a replica at its place.
+func (r Replica) key() string {
 	return r.ID + "/" + strconv.FormatInt(r.Born.UnixMilli(), 36) + "/" + r.Addr.String()
 }
--- a/modules/registrar/registrar_test.go
+++ b/modules/registrar/registrar_test.go
@@ -80,5 +80,5 @@
 	r.Put(replica("old", "10.0.0.1:1", 0))
 	r.Put(replica("new", "10.0.0.1:1", 9))
 	is.Equal(ids(r.View()), "new ")
-	is.True(replica("a", "10.0.0.1:1", 0).Key() != replica("a", "10.0.0.1:1", 1).Key())
+	is.True(replica("a", "10.0.0.1:1", 0).key() != replica("a", "10.0.0.1:1", 1).key())
 }
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -40,7 +40,7 @@
 }
 
 // sweepInterval is the time between two looks for entries that are missing for too long.
-const sweepInterval = 100 * time.Millisecond
+const sweepInterval = 200 * time.Millisecond
 
 // Follower holds the beliefs. It implements forwarder.Beliefs.
 type Follower struct {
--- a/services/forwarder/chronicle.go
+++ b/services/forwarder/chronicle.go
@@ -25,8 +25,7 @@
 
 // record counts the end of a request and writes its line. Plain answers go to the log whose
 // lines are dropped first, without their tries.
-func (f *Forwarder) record(fl *flight, r *Request, a *Answer, outcome string) {
-	now := time.Now()
+func (f *Forwarder) record(fl *flight, r *Request, a *Answer, outcome string, now time.Time) {
 	took := now.Sub(r.Arrived)
 	kind := "single"
 	if a.Gathered || (fl != nil && len(fl.route.Shards) > 0) {
--- a/services/forwarder/decider.go
+++ b/services/forwarder/decider.go
@@ -15,6 +15,8 @@
 	// sent with a full and with an empty budget.
 	hedgeEager   = 1.5
 	hedgeThrifty = 5
+	// hedgeReserve is the time that a hedge has beyond the usual one of its service.
+	hedgeReserve = 6 * time.Millisecond
 	// hedgeAgain is the time after which a hedge that was put off is looked at again.
 	hedgeAgain = 5 * time.Millisecond
 	// reserved is the share of the budget that is kept for parts without which there would be
@@ -53,8 +55,10 @@
 	left := fl.cutoff().Sub(now)
 	var late []*part
 	gone := 0
-	for _, p := range fl.parts {
+	choices := make([]choice, len(fl.parts))
+	for i, p := range fl.parts {
 		c, expect := fl.f.best(p.list, nil, p.work, p.conns, now)
+		choices[i] = choice{c, expect}
 		switch {
 		case c == nil:
 			fl.giveUp(p, reasonNoReplica)
@@ -74,13 +78,19 @@
 			fl.giveUp(p, reasonTooSlow)
 		}
 	}
-	for _, p := range fl.parts {
+	for i, p := range fl.parts {
 		if !p.ended {
-			fl.launch(p, false)
+			fl.launchTo(p, choices[i].replica, choices[i].expect, false, now)
 		}
 	}
 }
 
+// choice is the replica chosen for a part, with what to expect of it.
+type choice struct {
+	replica *registrar.Candidate
+	expect  ranker.Estimate
+}
+
 // tooSlow reports whether a replica is known to take longer than the time left.
 func tooSlow(e ranker.Estimate, left time.Duration, now time.Time) bool {
 	return e.Runs >= certain && now.Sub(e.Seen) < recent && float64(e.Mean) > hopeless*float64(left)
@@ -121,15 +131,14 @@
 
 // hedgeDelay is the time after which a second replica is asked as well. It grows as the
 // budget empties, but leaves the second one its time before the target where it can.
-func (fl *flight) hedgeDelay(p *part, c *registrar.Candidate, expect ranker.Estimate, now time.Time) time.Duration {
+func (fl *flight) hedgeDelay(p *part, expect ranker.Estimate, now time.Time) time.Duration {
 	if expect.Suspect {
 		return hedgeFloor
 	}
 	spent := 1 - p.budget.Fullness(now)
 	stretch := hedgeEager + (hedgeThrifty-hedgeEager)*spent
 	delay := expect.Mean + time.Duration(stretch*float64(expect.Deviation))
-	_, other := fl.f.best(p.list, []string{c.ID}, p.work, p.conns, now)
-	latest := fl.cutoff().Sub(now) - other.Mean - 2*other.Deviation
+	latest := fl.cutoff().Sub(now) - expect.Usual - hedgeReserve
 	if latest < delay && latest > expect.Mean {
 		delay = latest
 	}
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -252,6 +252,11 @@
 func (fl *flight) launch(p *part, hedge bool) {
 	now := time.Now()
 	c, expect := fl.f.best(p.list, p.tried, p.work, p.conns, now)
+	fl.launchTo(p, c, expect, hedge, now)
+}
+
+// launchTo does what launch does with the replica chosen already; c is nil if there is none.
+func (fl *flight) launchTo(p *part, c *registrar.Candidate, expect ranker.Estimate, hedge bool, now time.Time) {
 	if reason := fl.decline(p, c, expect, hedge, now); reason != "" {
 		fl.f.metrics.declined.WithLabelValues(reason).Inc()
 		switch {
@@ -270,22 +275,22 @@
 	p.tries = append(p.tries, t)
 	p.open++
 	if !hedge && p.ran == 0 && fl.route.Idempotent && fl.route.MaxAttempts > 1 {
-		p.hedgeAt = now.Add(fl.hedgeDelay(p, c, expect, now))
+		p.hedgeAt = now.Add(fl.hedgeDelay(p, expect, now))
 	}
-	fl.f.metrics.sends.WithLabelValues(t.kind()).Inc()
-	fl.f.ranks.Begin(c.Key(), now)
+	fl.f.metrics.sends[t.kind()].Inc()
+	fl.f.ranks.Begin(c.Key, now)
 	go fl.send(t)
 }
 
-// kind is first, hedge or retry.
-func (t *try) kind() string {
+// kind is one of the kinds of sends.
+func (t *try) kind() int {
 	switch {
 	case t.hedge:
-		return "hedge"
+		return sendHedge
 	case len(t.part.tries) > 1:
-		return "retry"
+		return sendRetry
 	}
-	return "first"
+	return sendFirst
 }
 
 // send runs in its own goroutine.
@@ -308,7 +313,7 @@
 	if !t.sent.IsZero() {
 		run.Took = now.Sub(t.sent)
 	}
-	change := fl.f.ranks.End(t.to.Key(), t.part.work, run, now)
+	change := fl.f.ranks.End(t.to.Key, t.part.work, run, now)
 	fl.f.logChange(t, change, err)
 	fl.results <- result{try: t, reply: reply, err: err, at: now}
 }
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -85,15 +85,11 @@
 func (f *Forwarder) Serve(ctx context.Context, r *Request) Answer {
 	state := f.beliefs.State()
 	if state == nil {
-		a := notRun(unknownRetry)
-		f.record(nil, r, &a, outcomeNoConfig)
-		return a
+		return f.recorded(nil, r, notRun(unknownRetry), outcomeNoConfig)
 	}
 	m := state.Table.Match(r.Host, r.Path)
 	if m == nil {
-		a := Answer{Status: http.StatusNotFound}
-		f.record(nil, r, &a, outcomeNoRoute)
-		return a
+		return f.recorded(nil, r, Answer{Status: http.StatusNotFound}, outcomeNoRoute)
 	}
 	patience := r.Patience
 	if patience <= 0 {
@@ -116,7 +112,13 @@
 	} else {
 		a = fl.single(m.Service())
 	}
-	f.record(fl, r, &a, fl.outcome(&a))
+	return f.recorded(fl, r, a, fl.outcome(&a))
+}
+
+// recorded adds to an answer what is to be recorded of it.
+func (f *Forwarder) recorded(fl *flight, r *Request, a Answer, outcome string) Answer {
+	now := time.Now()
+	a.Record = func() { f.record(fl, r, &a, outcome, now) }
 	return a
 }
 
@@ -181,7 +183,7 @@
 		if contains(tried, c.ID) {
 			continue
 		}
-		e := f.ranks.Estimate(c.Key(), c.Slots, w, now)
+		e := f.ranks.Estimate(c.Key, c.Slots, w, now)
 		cost := e.Expected
 		if c.DataCentre != f.cfg.DataCentre {
 			cost += time.Duration(distance * float64(w.Target))
--- a/services/forwarder/forwarder_test.go
+++ b/services/forwarder/forwarder_test.go
@@ -122,8 +122,9 @@
 	add := func(service string) {
 		cfg.Services[service] = router.Service{Name: service, MaxConns: 26}
 		for r := range 3 {
-			view.Services[service] = append(view.Services[service], &registrar.Candidate{Replica: registrar.Replica{
-				ID: fmt.Sprintf("%s/%d", service, r), Service: service, DataCentre: fmt.Sprintf("dc-%d", r),
+			id := fmt.Sprintf("%s/%d", service, r)
+			view.Services[service] = append(view.Services[service], &registrar.Candidate{Key: id, Replica: registrar.Replica{
+				ID: id, Service: service, DataCentre: fmt.Sprintf("dc-%d", r),
 				Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port), Slots: 2,
 			}})
 			port++
@@ -333,8 +334,10 @@
 		is := is.New(t)
 		b := &fakeBackend{behave: func(*registrar.Candidate) behaviour { return served(time.Millisecond) }}
 		f := newForwarder(b, false)
-		fl := &flight{f: f, state: f.beliefs.State(), route: f.beliefs.State().Table.Match("h", "/sweep/").Route,
-			r: request("/sweep/", time.Second), ctx: t.Context(), deadline: time.Now().Add(time.Second)}
+		fl := &flight{
+			f: f, state: f.beliefs.State(), route: f.beliefs.State().Table.Match("h", "/sweep/").Route,
+			r: request("/sweep/", time.Second), ctx: t.Context(), deadline: time.Now().Add(time.Second),
+		}
 		fl.start([]string{"shard-0", "shard-1"}, 1)
 		defer fl.cancel()
 		now := time.Now()
--- a/services/forwarder/metrics.go
+++ b/services/forwarder/metrics.go
@@ -9,11 +9,22 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	missing  *prometheus.CounterVec
-	sends    *prometheus.CounterVec
+	// sends holds the counter of each kind.
+	sends    [len(sendKinds)]prometheus.Counter
+	sendsVec *prometheus.CounterVec
 	declined *prometheus.CounterVec
 	changes  *prometheus.CounterVec
 }
 
+// Kinds of sends, as indexes of sendKinds.
+const (
+	sendFirst = iota
+	sendRetry
+	sendHedge
+)
+
+var sendKinds = [...]string{"first", "retry", "hedge"}
+
 // latencyBuckets are in seconds, dense around the target latencies of the users.
 var latencyBuckets = []float64{.005, .01, .02, .03, .04, .06, .08, .1, .15, .2, .25, .4, .8, 1.6, 5, 15}
 
@@ -21,21 +32,25 @@
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "ebonylock", Subsystem: "forward", Name: name, Help: help}, labels)
 	}
-	return &metrics{
+	m := &metrics{
 		requests: counter("requests_total", "Requests of callers by outcome and status.", "outcome", "status"),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "ebonylock", Subsystem: "forward", Name: "request_seconds",
 			Help: "Time from a request's arrival to its answer, by kind.", Buckets: latencyBuckets,
 		}, []string{"kind"}),
 		missing:  counter("parts_missing_total", "Shards left out of answers by reason.", "reason"),
-		sends:    counter("sends_total", "Sends to replicas: first, retry or hedge.", "kind"),
+		sendsVec: counter("sends_total", "Sends to replicas: first, retry or hedge.", "kind"),
 		declined: counter("declined_total", "Further sends that were decided against, by reason.", "reason"),
 		changes:  counter("replica_changes_total", "Replicas left for signs of death, and taken back.", "change"),
 	}
+	for i, kind := range sendKinds {
+		m.sends[i] = m.sendsVec.WithLabelValues(kind)
+	}
+	return m
 }
 
 // Register adds the forwarder's metrics to r.
 func (f *Forwarder) Register(r prometheus.Registerer) {
 	m := f.metrics
-	r.MustRegister(m.requests, m.latency, m.missing, m.sends, m.declined, m.changes)
+	r.MustRegister(m.requests, m.latency, m.missing, m.sendsVec, m.declined, m.changes)
 }
--- a/services/forwarder/types.go
+++ b/services/forwarder/types.go
@@ -67,6 +67,9 @@
 	Gathered bool
 	// RetryAfter is the time after which another try is worth while; 0 if unknown.
 	RetryAfter time.Duration
+	// Record writes what became of the request to the log and the metrics. It is called once
+	// the answer is on its way, so that the caller does not wait for it.
+	Record func()
 }
 
 // Message is what one replica gets.
--- a/services/forwarder/warmer.go
+++ b/services/forwarder/warmer.go
@@ -11,6 +11,8 @@
 	// warmInterval is the time between two connections that are opened ahead. A new connection
 	// costs a replica time, and all VMs open theirs when a replica appears.
 	warmInterval = 25 * time.Millisecond
+	// lookInterval is the time between two looks for new replicas.
+	lookInterval = 250 * time.Millisecond
 	// warmTimeout limits the opening of one.
 	warmTimeout = time.Second
 )
@@ -19,35 +21,30 @@
 // requests do not wait for all of them at once, until ctx ends.
 func (f *Forwarder) Warm(ctx context.Context) {
 	warmed := make(map[string]bool)
-	ticker := time.NewTicker(warmInterval)
-	defer ticker.Stop()
 	var seen *registrar.View
-	var cold []*registrar.Candidate
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for ctx.Err() == nil {
 		state := f.beliefs.State()
-		if state == nil {
-			continue
-		}
-		if state.View != seen {
-			seen = state.View
-			cold = f.cold(seen, warmed)
-		}
-		if len(cold) == 0 {
+		if state == nil || state.View == seen {
+			pause(ctx, lookInterval)
 			continue
 		}
-		c := cold[0]
-		cold = cold[1:]
-		warmed[c.Key()] = true
-		try, cancel := context.WithTimeout(ctx, warmTimeout)
-		if err := f.backend.Warm(try, c); err != nil {
-			f.log.WithField("event", "warm").WithField("replica", c.ID).WithError(err).Info("no connection opened ahead")
+		seen = state.View
+		for _, c := range f.cold(seen, warmed) {
+			warmed[c.Key] = true
+			try, cancel := context.WithTimeout(ctx, warmTimeout)
+			if err := f.backend.Warm(try, c); err != nil {
+				f.log.WithField("event", "warm").WithField("replica", c.ID).WithError(err).Info("no connection opened ahead")
+			}
+			cancel()
+			pause(ctx, warmInterval)
 		}
-		cancel()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
@@ -58,7 +55,7 @@
 	known := make(map[string]bool)
 	for _, list := range v.Services {
 		for _, c := range list {
-			key := c.Key()
+			key := c.Key
 			known[key] = true
 			if c.DataCentre == f.cfg.DataCentre && !c.Fading && !warmed[key] {
 				out = append(out, c)
--- a/services/gossiper/gossiper.go
+++ b/services/gossiper/gossiper.go
@@ -2,6 +2,7 @@
 package gossiper
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -46,6 +47,8 @@
 	Clock *stamper.Clock
 	// PauseAfter is the silence that counts as a pause.
 	PauseAfter time.Duration
+	// Tick is the time between two looks for what is due; 0 means 20 ms.
+	Tick time.Duration
 }
 
 // Gossiper is one VM's side of the membership protocol.
@@ -181,7 +184,7 @@
 		g.observer.Paused(now, gap)
 	}
 	g.report(now, changes)
-	return tickInterval, gnet.None
+	return cmp.Or(g.cfg.Tick, tickInterval), gnet.None
 }
 
 // send needs the lock.
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -45,6 +45,8 @@
 	sweepInterval = 5 * time.Second
 	// forgetAfter is the time after which evidence about an unused replica is dropped.
 	forgetAfter = time.Minute
+	// tick is the time between two looks of the membership protocol for what is due.
+	tick = 100 * time.Millisecond
 	// fenceAfter is the silence that counts as a pause of the process.
 	fenceAfter = 2 * time.Second
 )
@@ -126,10 +128,11 @@
 		DataCentre:  d.site.VM.DataCentre,
 		Link:        d.site.Peers.Link,
 		Operators:   d.site.Requests.Metrics,
+		Capacity:    uint64(d.site.VM.LinkMbps),
 		Incarnation: incarnation,
 		Epoch:       uint64(time.Now().UnixMilli()),
 	}
-	cfg := gossiper.Config{Bind: d.site.Peers.Gossip, Self: self, Keys: keys, Timing: timing, PauseAfter: fenceAfter}
+	cfg := gossiper.Config{Bind: d.site.Peers.Gossip, Self: self, Keys: keys, Timing: timing, PauseAfter: fenceAfter, Tick: tick}
 	d.gossip, err = gossiper.Start(cfg, func(self prober.Member) *prober.Prober {
 		return prober.New(self, cfg.Timing, rand.New(rand.NewPCG(incarnation, self.Epoch)), time.Now())
 	}, d)
--- a/services/launcher/sources.go
+++ b/services/launcher/sources.go
@@ -44,13 +44,14 @@
 	relays map[netip.AddrPort]*relayer.Client
 }
 
-// rank orders the live VMs so that the first ones are of different data centres.
+// rank orders the live VMs: those with the fastest link first, as all others read from them,
+// and the first ones of different data centres.
 func rank(members []prober.Member) []prober.Member {
 	live := slices.DeleteFunc(slices.Clone(members), func(m prober.Member) bool {
 		return m.State >= prober.Dead || m.Draining
 	})
 	slices.SortFunc(live, func(a, b prober.Member) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
 	seen := make(map[string]bool)
 	var first, rest []prober.Member
--- a/services/relayer/codec.go
+++ b/services/relayer/codec.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/klauspost/compress/zstd"
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/ebonylock/ebonylock/modules/encoder"
@@ -52,10 +53,13 @@
 	return time.Duration(min(v, uint64(24*time.Hour/time.Millisecond))) * time.Millisecond
 }
 
-// Field numbers of a batch and of its items.
+// Field numbers of a reply, of a batch and of its items. The batch is compressed, and the same
+// for all followers at one revision.
 const (
+	replyAge   protowire.Number = 1
+	replyBatch protowire.Number = 2
+
 	batchRevision protowire.Number = 1
-	batchAge      protowire.Number = 2
 	batchItem     protowire.Number = 3
 
 	itemKey      protowire.Number = 1
@@ -66,7 +70,6 @@
 
 func appendBatch(b []byte, batch replicator.Batch) []byte {
 	b = encoder.AppendVarint(b, batchRevision, batch.Revision)
-	b = encoder.AppendVarint(b, batchAge, uint64(max(batch.Age, 0).Milliseconds()))
 	var item []byte
 	for _, it := range batch.Items {
 		item = encoder.AppendBytes(item[:0], itemKey, []byte(it.Key))
@@ -86,8 +89,6 @@
 		switch num {
 		case batchRevision:
 			out.Revision = v
-		case batchAge:
-			out.Age = milliseconds(v)
 		case batchItem:
 			it, err := decodeItem(raw)
 			if err != nil {
@@ -117,3 +118,44 @@
 	})
 	return it, err
 }
+
+// compress returns the batch in the zstd format.
+func compress(batch replicator.Batch) []byte {
+	return coder.EncodeAll(appendBatch(nil, batch), nil)
+}
+
+// maxBatch bounds a batch, in bytes.
+const maxBatch = 64 << 20
+
+var (
+	// Neither can fail with these options.
+	coder, _  = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(zstd.MinWindowSize<<6))
+	reader, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxBatch), zstd.WithDecoderLowmem(true))
+)
+
+// appendReply writes the age of what a compressed batch holds, and the batch.
+func appendReply(b []byte, age time.Duration, batch []byte) []byte {
+	b = encoder.AppendVarint(b, replyAge, uint64(max(age, 0).Milliseconds()))
+	return encoder.AppendBytes(b, replyBatch, batch)
+}
+
+func decodeReply(b []byte) (replicator.Batch, error) {
+	var out replicator.Batch
+	var age time.Duration
+	err := encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) error {
+		switch num {
+		case replyAge:
+			age = milliseconds(v)
+		case replyBatch:
+			plain, err := reader.DecodeAll(raw, nil)
+			if err != nil {
+				return encoder.ErrMalformed
+			}
+			out, err = decodeBatch(plain)
+			return err
+		}
+		return nil
+	})
+	out.Age = age
+	return out, err
+}
--- a/services/relayer/relayer.go
+++ b/services/relayer/relayer.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/samber/oops"
@@ -43,6 +44,14 @@
 	srv    fasthttp.Server
 	ctx    context.Context
 	cancel context.CancelFunc
+
+	mu sync.Mutex
+	// last is the batch that was compressed last; followers mostly ask for the same one.
+	last struct {
+		question
+		revision uint64
+		batch    []byte
+	}
 }
 
 // Listen binds addr. keys are 32-byte keys: the first one seals, all of them open.
@@ -104,8 +113,23 @@
 	case err != nil:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	default:
-		ctx.SetBody(s.sealer.Seal(appendBatch(nil, b)))
+		ctx.SetBody(s.sealer.Seal(appendReply(nil, b.Age, s.compressed(q, b))))
+	}
+}
+
+// compressed returns the compressed form of b, the answer to q.
+func (s *Server) compressed(q question, b replicator.Batch) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q.wait = 0
+	if len(b.Items) == 0 || s.last.question != q || s.last.revision != b.Revision || s.last.batch == nil {
+		batch := compress(b)
+		if len(b.Items) == 0 {
+			return batch
+		}
+		s.last.question, s.last.revision, s.last.batch = q, b.Revision, batch
 	}
+	return s.last.batch
 }
 
 // Client follows another VM. It implements replicator.Source.
@@ -155,7 +179,7 @@
 	if err != nil {
 		return replicator.Batch{}, oops.Wrap(errors.Join(ErrUnreachable, err))
 	}
-	b, err := decodeBatch(plain)
+	b, err := decodeReply(plain)
 	if err != nil {
 		return replicator.Batch{}, oops.Wrap(errors.Join(ErrUnreachable, err))
 	}
