Copies of the store: several changes of a key in one batch, and changes that were missed

Both found by a drawn test of a store, a reader that misses changes and a follower of it. Failing before: TestKeyChangedTwiceInOneBatch, TestFollowersEndAtTheSameItems.

--- a/services/follower/run.go
+++ b/services/follower/run.go
@@ -91,7 +91,10 @@
 		done := make(chan bool, len(sources))
 		try, stop := context.WithTimeout(ctx, firstTimeout)
 		for _, s := range sources {
-			go func() { done <- f.snapshot(try, s) == nil }()
+			go func() {
+				_, err := f.snapshot(try, s)
+				done <- err == nil
+			}()
 		}
 		got := false
 		for range sources {
@@ -107,17 +110,18 @@
 	}
 }
 
-func (f *Follower) snapshot(ctx context.Context, s Named) error {
+// snapshot takes in all that a source knows and returns its mark.
+func (f *Follower) snapshot(ctx context.Context, s Named) (replicator.Mark, error) {
 	b, err := s.Source.Snapshot(ctx)
 	if err != nil {
-		return err
+		return b.Mark, err
 	}
 	if !s.Store && b.Age > replicator.StaleAfter && f.Copy.Revision() > 0 {
-		return errStale
+		return b.Mark, errStale
 	}
 	f.Load(b, time.Now())
 	f.log.WithFields(logrus.Fields{"event": "snapshot", "source": s.Name, "revision": b.Revision, "items": len(b.Items), "age": b.Age.String()}).Info("read a snapshot")
-	return nil
+	return b.Mark, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -166,23 +170,22 @@
 // follow takes in the changes of one source until a read fails or another source is better.
 func (l *lane) follow(ctx context.Context, s Named) error {
 	wait := relayWait
-	after := l.f.Copy.Revision()
 	if s.Store {
-		// A watch that was cut may have missed changes.
 		wait = storeWait
-		if err := l.f.snapshot(ctx, s); err != nil {
-			return err
-		}
-		after = l.f.Copy.Revision()
+	}
+	// What changed since an earlier time at this source may be lost: a watch that was cut may
+	// have been deaf before, and another VM may have started anew.
+	after, err := l.f.snapshot(ctx, s)
+	if err != nil {
+		return err
 	}
 	began := time.Now()
 	for {
 		b, err := s.Source.Changes(ctx, after, wait)
 		if errors.Is(err, replicator.ErrCompacted) {
-			if err := l.f.snapshot(ctx, s); err != nil {
+			if after, err = l.f.snapshot(ctx, s); err != nil {
 				return err
 			}
-			after = l.f.Copy.Revision()
 			continue
 		}
 		if err != nil {
@@ -190,7 +193,7 @@
 		}
 		now := time.Now()
 		l.f.Apply(b, now)
-		after = max(after, b.Revision)
+		after = b.Mark
 		if !s.Store && b.Age > replicator.StaleAfter {
 			return errStale
 		}
--- a/services/forwarder/forwarder_test.go
+++ b/services/forwarder/forwarder_test.go
@@ -311,7 +311,7 @@
 // TestExtraSendsStayInTheBudget is the pattern of a fleet-wide slowdown: however many parts
 // are late, the extra sends to each shard stay within the VM's share of the rule.
 func TestExtraSendsStayInTheBudget(t *testing.T) {
-	run(t, true, func(*registrar.Candidate) behaviour { return served(70 * time.Millisecond) }, func(is *is.I, f *Forwarder, b *fakeBackend) {
+	run(t, true, func(*registrar.Candidate) behaviour { return served(70 * time.Millisecond) }, func(_ *is.I, f *Forwarder, b *fakeBackend) {
 		const n = 80
 		for range n {
 			sweep(f)
--- a/services/relayer/codec.go
+++ b/services/relayer/codec.go
@@ -13,7 +13,7 @@
 // question asks for a snapshot, or for what changed after a revision.
 type question struct {
 	whole bool
-	after uint64
+	after replicator.Mark
 	wait  time.Duration
 }
 
@@ -22,13 +22,15 @@
 	questionWhole protowire.Number = 1
 	questionAfter protowire.Number = 2
 	questionWait  protowire.Number = 3
+	questionEpoch protowire.Number = 4
 )
 
 func (q question) append(b []byte) []byte {
 	if q.whole {
 		b = encoder.AppendVarint(b, questionWhole, 1)
 	}
-	b = encoder.AppendVarint(b, questionAfter, q.after)
+	b = encoder.AppendVarint(b, questionAfter, q.after.Revision)
+	b = encoder.AppendVarint(b, questionEpoch, q.after.Epoch)
 	return encoder.AppendVarint(b, questionWait, uint64(q.wait.Milliseconds()))
 }
 
@@ -39,7 +41,9 @@
 		case questionWhole:
 			q.whole = v != 0
 		case questionAfter:
-			q.after = v
+			q.after.Revision = v
+		case questionEpoch:
+			q.after.Epoch = v
 		case questionWait:
 			q.wait = milliseconds(v)
 		}
@@ -61,6 +65,7 @@
 
 	batchRevision protowire.Number = 1
 	batchItem     protowire.Number = 3
+	batchEpoch    protowire.Number = 4
 
 	itemKey      protowire.Number = 1
 	itemValue    protowire.Number = 2
@@ -70,6 +75,7 @@
 
 func appendBatch(b []byte, batch replicator.Batch) []byte {
 	b = encoder.AppendVarint(b, batchRevision, batch.Revision)
+	b = encoder.AppendVarint(b, batchEpoch, batch.Epoch)
 	var item []byte
 	for _, it := range batch.Items {
 		item = encoder.AppendBytes(item[:0], itemKey, []byte(it.Key))
@@ -89,6 +95,8 @@
 		switch num {
 		case batchRevision:
 			out.Revision = v
+		case batchEpoch:
+			out.Epoch = v
 		case batchItem:
 			it, err := decodeItem(raw)
 			if err != nil {
--- a/services/relayer/relayer.go
+++ b/services/relayer/relayer.go
@@ -49,8 +49,8 @@
 	// last is the batch that was compressed last; followers mostly ask for the same one.
 	last struct {
 		question
-		revision uint64
-		batch    []byte
+		mark  replicator.Mark
+		batch []byte
 	}
 }
 
@@ -122,12 +122,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q.wait = 0
-	if len(b.Items) == 0 || s.last.question != q || s.last.revision != b.Revision || s.last.batch == nil {
+	if len(b.Items) == 0 || s.last.question != q || s.last.mark != b.Mark || s.last.batch == nil {
 		batch := compress(b)
 		if len(b.Items) == 0 {
 			return batch
 		}
-		s.last.question, s.last.revision, s.last.batch = q, b.Revision, batch
+		s.last.question, s.last.mark, s.last.batch = q, b.Mark, batch
 	}
 	return s.last.batch
 }
@@ -156,7 +156,7 @@
 }
 
 // Changes implements replicator.Source.
-func (c *Client) Changes(ctx context.Context, after uint64, wait time.Duration) (replicator.Batch, error) {
+func (c *Client) Changes(ctx context.Context, after replicator.Mark, wait time.Duration) (replicator.Batch, error) {
 	return c.ask(ctx, question{after: after, wait: wait}, wait+slack)
 }
 
--- /dev/null
+++ b/services/relayer/relayer_test.go
@@ -0,0 +1,133 @@
+package relayer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/ebonylock/ebonylock/modules/fetcher"
+	"github.com/ebonylock/ebonylock/services/replicator"
+)
+
+var keys = [][]byte{bytes.Repeat([]byte{1}, 32)}
+
+func start(t *testing.T, source replicator.Source) (*Server, *Client) {
+	t.Helper()
+	s, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), keys, source)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve() }()
+	t.Cleanup(s.Close)
+	c, err := NewClient(s.Addr(), keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, c
+}
+
+func batch(revision uint64, items ...replicator.Item) replicator.Batch {
+	return replicator.Batch{Items: items, Mark: replicator.Mark{Revision: revision}}
+}
+
+func TestFollow(t *testing.T) {
+	is := is.New(t)
+	var c replicator.Copy
+	_, client := start(t, &c)
+	ctx := context.Background()
+	_, err := client.Snapshot(ctx)
+	is.True(errors.Is(err, ErrUnreachable)) // the other VM knows nothing yet
+	now := time.Now()
+	c.Load(batch(5, replicator.Item{Key: "a", Value: []byte("1"), Revision: 3}, replicator.Item{Key: "b", Revision: 5}), now)
+	b, err := client.Snapshot(ctx)
+	is.NoErr(err)
+	is.Equal(len(b.Items), 2)
+	is.Equal(b.Revision, uint64(5))
+	is.True(b.Age < time.Second)
+	mark := b.Mark
+	done := make(chan replicator.Batch, 1)
+	go func() {
+		b, _ := client.Changes(ctx, mark, 5*time.Second)
+		done <- b
+	}()
+	c.Apply(batch(7, replicator.Item{Key: "a", Value: []byte("2"), Revision: 6}, replicator.Item{Key: "b", Revision: 7, Removed: true}), time.Now())
+	b = <-done
+	is.Equal(b.Items, []replicator.Item{{Key: "a", Value: []byte("2"), Revision: 6}, {Key: "b", Revision: 7, Removed: true}})
+	_, err = client.Changes(ctx, replicator.Mark{Revision: 2, Epoch: mark.Epoch}, time.Millisecond)
+	is.True(errors.Is(err, replicator.ErrCompacted))
+	b, err = client.Changes(ctx, b.Mark, time.Millisecond)
+	is.NoErr(err)
+	is.Equal(len(b.Items), 0)
+}
+
+// TestStaleCopyAnswersAtOnce is the pattern of a reader that is cut off from the store: its
+// followers hear at once that it is of no use.
+func TestStaleCopyAnswersAtOnce(t *testing.T) {
+	is := is.New(t)
+	var c replicator.Copy
+	_, client := start(t, &c)
+	c.Load(batch(5, replicator.Item{Key: "a", Revision: 3}), time.Now().Add(-time.Minute))
+	b, err := client.Snapshot(context.Background())
+	is.NoErr(err)
+	began := time.Now()
+	b, err = client.Changes(context.Background(), b.Mark, 20*time.Second)
+	is.NoErr(err)
+	is.True(b.Age > replicator.StaleAfter)
+	is.True(time.Since(began) < 10*time.Second)
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	is := is.New(t)
+	var c replicator.Copy
+	c.Load(batch(5, replicator.Item{Key: "a", Revision: 3}), time.Now())
+	s, _ := start(t, &c)
+	other, err := NewClient(s.Addr(), [][]byte{bytes.Repeat([]byte{2}, 32)})
+	is.NoErr(err)
+	_, err = other.Snapshot(context.Background())
+	is.True(errors.Is(err, ErrUnreachable))
+	both, err := NewClient(s.Addr(), [][]byte{keys[0], bytes.Repeat([]byte{2}, 32)}) // a key being rotated
+	is.NoErr(err)
+	_, err = both.Snapshot(context.Background())
+	is.NoErr(err)
+	raw := fetcher.New(s.Addr(), 1)
+	for path, want := range map[string]int{pathRead: fasthttp.StatusForbidden, "/other": fasthttp.StatusNotFound} {
+		code, _, err := raw.Raw(fasthttp.MethodPost, path, "", []byte("nonsense"), time.Now().Add(time.Second))
+		is.NoErr(err)
+		is.Equal(code, want)
+	}
+}
+
+// TestSameBatchIsCompressedOnce checks what many followers at one revision share.
+func TestSameBatchIsCompressedOnce(t *testing.T) {
+	is := is.New(t)
+	s := &Server{}
+	b := batch(9)
+	for i := range 100 {
+		b.Items = append(b.Items, replicator.Item{Key: fmt.Sprint("servers/", i), Value: bytes.Repeat([]byte("entry "), 40), Revision: 9})
+	}
+	first := s.compressed(question{after: replicator.Mark{Revision: 3}, wait: time.Second}, b)
+	second := s.compressed(question{after: replicator.Mark{Revision: 3}, wait: time.Minute}, b)
+	is.True(&first[0] == &second[0])
+	is.True(len(first) < 3000) // 25 kB without compression
+	other := s.compressed(question{after: replicator.Mark{Revision: 4}}, batch(9))
+	got, err := decodeReply(appendReply(nil, time.Second, other))
+	is.NoErr(err)
+	is.Equal(len(got.Items), 0)
+	is.Equal(got.Age, time.Second)
+}
+
+func FuzzDecodeReply(f *testing.F) {
+	f.Add(appendReply(nil, time.Second, compress(batch(3, replicator.Item{Key: "k", Value: []byte("v"), Revision: 2}))))
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		_, _ = decodeReply(raw)
+		_, _ = decodeQuestion(raw)
+		_, _ = decodeBatch(raw)
+	})
+}
--- a/services/replicator/replicator.go
+++ b/services/replicator/replicator.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -26,11 +27,19 @@
 	Removed bool
 }
 
-// Batch is what a source knows up to a revision.
+// Mark is a place in the changes of one source.
+type Mark struct {
+	// Revision is the one up to which all changes are known.
+	Revision uint64
+	// Epoch changes when a source finds changes that it had missed at earlier revisions; it is
+	// always 0 for the store itself.
+	Epoch uint64
+}
+
+// Batch is what a source knows up to a mark.
 type Batch struct {
 	Items []Item
-	// Revision is the one up to which Items are whole.
-	Revision uint64
+	Mark
 	// Age is the time since the store itself was last heard to be at Revision.
 	Age time.Duration
 }
@@ -39,9 +48,9 @@
 type Source interface {
 	// Snapshot returns all items.
 	Snapshot(ctx context.Context) (Batch, error)
-	// Changes returns what changed after a revision, as soon as there is anything or wait has
-	// passed. Errors match ErrCompacted when the revision is too old.
-	Changes(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+	// Changes returns what changed after a mark, as soon as there is anything or wait has
+	// passed. Errors match ErrCompacted when the mark is too old.
+	Changes(ctx context.Context, after Mark, wait time.Duration) (Batch, error)
 }
 
 // StaleAfter is the age above which a copy may have missed a change that should be in force
@@ -70,6 +79,8 @@
 	// compacted.
 	history   []Item
 	compacted uint64
+	// epoch is random at first, so that it differs between starts of the process.
+	epoch uint64
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -84,6 +95,7 @@
 	}
 	if c.items == nil {
 		c.items, c.removed = make(map[string]Item), make(map[string]uint64)
+		c.epoch = rand.Uint64()
 	}
 	var changes []Item
 	seen := make(map[string]bool, len(b.Items))
@@ -98,10 +110,14 @@
 			changes = append(changes, Item{Key: key, Revision: b.Revision, Removed: true})
 		}
 	}
+	for _, it := range changes {
+		c.set(it)
+	}
 	c.take(changes, b, now)
 	if len(changes) > 0 {
 		// The changes may be older than what followers have seen; they read a snapshot.
 		c.history, c.compacted = nil, c.revision
+		c.epoch++
 	}
 	return changes
 }
@@ -118,25 +134,29 @@
 		old, ok := c.items[it.Key]
 		if (ok && old.Revision < it.Revision) || (!ok && !it.Removed && c.removed[it.Key] < it.Revision) {
 			changes = append(changes, it)
+			// A batch may hold several changes of one key.
+			c.set(it)
 		}
 	}
 	c.take(changes, b, now)
 	return changes
 }
 
+// set needs the lock.
+func (c *Copy) set(it Item) {
+	if !it.Removed {
+		c.items[it.Key] = it
+		return
+	}
+	delete(c.items, it.Key)
+	if len(c.removed) >= maxRemoved {
+		clear(c.removed)
+	}
+	c.removed[it.Key] = it.Revision
+}
+
 // take needs the lock.
 func (c *Copy) take(changes []Item, b Batch, now time.Time) {
-	for _, it := range changes {
-		if it.Removed {
-			delete(c.items, it.Key)
-			if len(c.removed) >= maxRemoved {
-				clear(c.removed)
-			}
-			c.removed[it.Key] = it.Revision
-		} else {
-			c.items[it.Key] = it
-		}
-	}
 	slices.SortStableFunc(changes, func(a, b Item) int { return int(int64(a.Revision) - int64(b.Revision)) })
 	c.history = append(c.history, changes...)
 	if n := len(c.history) - defaultHistory; n > 0 {
@@ -175,7 +195,7 @@
 	if c.items == nil {
 		return Batch{}, ErrNotReady
 	}
-	b := Batch{Revision: c.revision, Age: time.Since(c.fresh)}
+	b := Batch{Mark: Mark{c.revision, c.epoch}, Age: time.Since(c.fresh)}
 	for _, it := range c.items {
 		b.Items = append(b.Items, it)
 	}
@@ -184,7 +204,7 @@
 
 // Changes implements Source. A stale copy answers at once, so that its followers look for
 // another one.
-func (c *Copy) Changes(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
+func (c *Copy) Changes(ctx context.Context, after Mark, wait time.Duration) (Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -203,23 +223,23 @@
 	}
 }
 
-// since returns the changes after a revision, and a channel that is closed at the next one.
-func (c *Copy) since(after uint64) (Batch, chan struct{}, error) {
+// since returns the changes after a mark, and a channel that is closed at the next one.
+func (c *Copy) since(after Mark) (Batch, chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.items == nil:
 		return Batch{}, nil, ErrNotReady
-	case after < c.compacted:
+	case after.Epoch != c.epoch, after.Revision < c.compacted:
 		return Batch{}, nil, ErrCompacted
 	}
 	if c.changed == nil {
 		c.changed = make(chan struct{})
 	}
 	// A follower ahead of this copy must not be led back.
-	b := Batch{Revision: max(c.revision, after), Age: time.Since(c.fresh)}
+	b := Batch{Mark: Mark{max(c.revision, after.Revision), c.epoch}, Age: time.Since(c.fresh)}
 	for _, it := range c.history {
-		if it.Revision > after {
+		if it.Revision > after.Revision {
 			b.Items = append(b.Items, it)
 		}
 	}
