Metrics, settings read again, and the whole path of one VM against the stand-ins

Metrics on the address of the settings; SIGHUP and changes without a signal read the settings again (seeds and log level in force at once). The test fleet's ports: each fleet has loopback addresses of its own, as a free port found and bound later was taken by another process once (TestCrashingRequest, 'listen for operators: bind: address already in use').

--- a/cmd/ebonylockd/serve_platform.go
+++ b/cmd/ebonylockd/serve_platform.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/samber/oops"
 	"github.com/urfave/cli/v3"
@@ -27,13 +29,13 @@
 	}
 }
 
+// settingsInterval is the time between two looks whether the settings file has changed, as it
+// may do so without a signal.
+const settingsInterval = 2 * time.Second
+
 func servePlatform(ctx context.Context, c *cli.Command) error {
 	file := c.String("settings")
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return oops.Wrapf(err, "read settings")
-	}
-	site, err := loader.LoadSite(file, data)
+	site, data, err := readSite(file)
 	if err != nil {
 		return err
 	}
@@ -44,12 +46,45 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	go func() {
-		for s := range signals {
+	go watchSettings(file, data, d, signals)
+	return d.Run(ctx)
+}
+
+func readSite(file string) (loader.Site, []byte, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return loader.Site{}, nil, oops.Wrapf(err, "read settings")
+	}
+	site, err := loader.LoadSite(file, data)
+	return site, data, err
+}
+
+// watchSettings stops the daemon at a signal, and reads the settings again when they have
+// changed, at SIGHUP and now and then.
+func watchSettings(file string, last []byte, d *launcher.Daemon, signals <-chan os.Signal) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		hangup := false
+		select {
+		case s := <-signals:
 			if s != syscall.SIGHUP {
 				d.Stop()
+				return
 			}
+			hangup = true
+		case <-ticker.C:
 		}
-	}()
-	return d.Run(ctx)
+		data, err := os.ReadFile(file)
+		if err == nil && bytes.Equal(data, last) && !hangup {
+			continue
+		}
+		site, data, err := readSite(file)
+		if err != nil {
+			d.ReloadFailed(err)
+			continue
+		}
+		last = data
+		d.Reload(site)
+	}
 }
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/ebonylock/ebonylock/modules/registrar"
@@ -49,6 +50,7 @@
 	// Copy is the copy of the store that others may follow.
 	Copy replicator.Copy
 
+	reads *prometheus.CounterVec
 	state atomic.Pointer[forwarder.State]
 
 	mu       sync.Mutex
@@ -61,7 +63,7 @@
 
 // New returns a Follower that knows nothing.
 func New(decoder Decoder, log *logrus.Logger) *Follower {
-	return &Follower{decoder: decoder, log: log, evacuated: make(map[string]bool), vms: 1}
+	return &Follower{decoder: decoder, log: log, reads: newReads(), evacuated: make(map[string]bool), vms: 1}
 }
 
 // State implements forwarder.Beliefs.
--- a/services/follower/run.go
+++ b/services/follower/run.go
@@ -113,6 +113,7 @@
 // snapshot takes in all that a source knows and returns its mark.
 func (f *Follower) snapshot(ctx context.Context, s Named) (replicator.Mark, error) {
 	b, err := s.Source.Snapshot(ctx)
+	f.count(s, "snapshot", err)
 	if err != nil {
 		return b.Mark, err
 	}
@@ -182,6 +183,7 @@
 	began := time.Now()
 	for {
 		b, err := s.Source.Changes(ctx, after, wait)
+		l.f.count(s, "changes", err)
 		if errors.Is(err, replicator.ErrCompacted) {
 			if after, err = l.f.snapshot(ctx, s); err != nil {
 				return err
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/ebonylock/ebonylock/modules/loader"
@@ -20,6 +22,7 @@
 	"github.com/ebonylock/ebonylock/platform/replica"
 	"github.com/ebonylock/ebonylock/platform/requester"
 	"github.com/ebonylock/ebonylock/platform/store"
+	"github.com/ebonylock/ebonylock/routers/exposer"
 	"github.com/ebonylock/ebonylock/services/follower"
 	"github.com/ebonylock/ebonylock/services/forwarder"
 	"github.com/ebonylock/ebonylock/services/gossiper"
@@ -71,6 +74,7 @@
 	forward  *forwarder.Forwarder
 	callers  *requester.Listener
 	balancer *readier.Server
+	metrics  *exposer.Server
 	gossip   *gossiper.Gossiper
 	relay    *relayer.Server
 	guide    guide
@@ -104,10 +108,32 @@
 	if d.balancer, err = readier.Listen(site.Requests.Readiness, d.Ready); err != nil {
 		return nil, err
 	}
+	if d.metrics, err = exposer.Listen(site.Requests.Metrics, d.registry()); err != nil {
+		return nil, err
+	}
 	d.callers, err = requester.Listen(site.Requests.Listen, d)
 	return d, err
 }
 
+// registry returns the metrics of all parts.
+func (d *Daemon) registry() *prometheus.Registry {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: "ebonylock", Name: "replica_connections", Help: "Open connections to replicas.",
+		}, func() float64 { return float64(d.backend.Connections()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: "ebonylock", Name: "log_lines_dropped_total", Help: "Log lines dropped for volume.",
+		}, func() float64 { return float64(d.spool.Dropped()) }),
+	)
+	d.forward.Register(reg)
+	d.follow.Register(reg)
+	d.gossip.Register(reg)
+	return reg
+}
+
 // join starts the membership between VMs.
 func (d *Daemon) join() error {
 	incarnation := rand.Uint64()
@@ -126,7 +152,7 @@
 	self := prober.Member{
 		ID:          d.site.VM.ID,
 		DataCentre:  d.site.VM.DataCentre,
-		Link:        d.site.Peers.Link,
+		Link:        d.relay.Addr(),
 		Operators:   d.site.Requests.Metrics,
 		Capacity:    uint64(d.site.VM.LinkMbps),
 		Incarnation: incarnation,
@@ -139,13 +165,33 @@
 	if err != nil {
 		return err
 	}
-	seeds := make([]netip.AddrPort, len(d.site.Peers.Seeds))
-	for i, s := range d.site.Peers.Seeds {
-		seeds[i] = netip.AddrPortFrom(s.Addr(), d.site.Peers.Gossip.Port())
+	d.setSeeds(d.site.Peers.Seeds)
+	d.follow.SetVMs(len(d.site.Peers.Seeds))
+	return nil
+}
+
+// setSeeds takes in the addresses of VMs that may be alive, which all listen on the same port.
+func (d *Daemon) setSeeds(addrs []netip.AddrPort) {
+	seeds := make([]netip.AddrPort, len(addrs))
+	for i, a := range addrs {
+		seeds[i] = netip.AddrPortFrom(a.Addr(), d.site.Peers.Gossip.Port())
 	}
 	d.gossip.SetSeeds(seeds)
-	d.follow.SetVMs(len(seeds))
-	return nil
+}
+
+// Reload takes in settings that were read again. Seeds and the level of the log are in force at
+// once, all others at the next start.
+func (d *Daemon) Reload(site loader.Site) {
+	d.setSeeds(site.Peers.Seeds)
+	if level, err := logrus.ParseLevel(site.Log.Level); err == nil {
+		d.log.SetLevel(level)
+	}
+	d.log.WithFields(logrus.Fields{"event": "reload", "seeds": len(site.Peers.Seeds), "level": site.Log.Level}).Info("settings read again")
+}
+
+// ReloadFailed writes that settings could not be read again; the last ones stay in force.
+func (d *Daemon) ReloadFailed(err error) {
+	d.log.WithField("event", "reload").WithError(err).Error("settings not readable; the last ones stay in force")
 }
 
 // derive returns a key for purpose from each fleet key.
@@ -216,14 +262,18 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
+	go func() { failed <- d.metrics.Serve() }()
 	go func() { failed <- d.balancer.Serve() }()
 	go func() { failed <- d.relay.Serve() }()
 	go d.follow.Follow(ctx, readers, &d.guide)
 	go d.follow.Sweep(ctx)
 	go d.sweep(ctx)
 	go d.forward.Warm(ctx)
-	d.log.WithFields(logrus.Fields{"event": "start", "vm": d.site.VM.ID, "callers": d.site.Requests.Listen.String()}).Info("VM started")
+	d.log.WithFields(logrus.Fields{
+		"event": "start", "vm": d.site.VM.ID, "data-centre": d.site.VM.DataCentre,
+		"callers": d.callers.Addr().String(), "first-start": d.site.FirstStart,
+	}).Info("VM started")
 	select {
 	case err := <-failed:
 		return err
@@ -265,6 +315,7 @@
 func (d *Daemon) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	dropped := uint64(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -272,6 +323,16 @@
 		case now := <-ticker.C:
 			d.backend.Sweep(now)
 			d.forward.Forget(now.Add(-forgetAfter))
+			dropped = d.reportDropped(dropped)
 		}
 	}
 }
+
+// reportDropped writes how many lines of the log were dropped since before.
+func (d *Daemon) reportDropped(before uint64) uint64 {
+	n := d.spool.Dropped()
+	if n > before {
+		d.log.WithFields(logrus.Fields{"event": "log-dropped", "lines": n - before}).Warn("log lines were dropped for volume")
+	}
+	return n
+}
--- a/tests/fleet/fleet.go
+++ b/tests/fleet/fleet.go
@@ -11,11 +11,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -160,6 +161,7 @@
 
 // placeVMs chooses names, data centres and addresses.
 func (f *Fleet) placeVMs() {
+	fleet := int(fleets.Add(1))
 	for i := range f.cfg.VMs {
 		vm := &VM{
 			ID:         fmt.Sprintf("vm-%d", i+1),
@@ -169,7 +171,7 @@
 			if f.cfg.BasePort > 0 {
 				*a = fmt.Sprintf("127.0.0.1:%d", f.cfg.BasePort+100*j+i)
 			} else {
-				*a = freeAddr(j >= 2)
+				*a = ownAddr(fleet, i, j)
 			}
 		}
 		vm.settings = f.settings(vm)
@@ -177,22 +179,27 @@
 	}
 }
 
-// freeAddr returns an address that was free a moment ago.
-func freeAddr(udp bool) string {
-	if udp {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			return ""
-		}
-		defer func() { _ = c.Close() }()
-		return c.LocalAddr().String()
-	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return ""
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+const (
+	// firstPort is that of the first VM. All ports are below the range that systems take free
+	// ports from.
+	firstPort = 10_000
+	// portsPerVM and vmsPerFleet divide the ports; they begin again after maxFleets.
+	portsPerVM  = 4
+	vmsPerFleet = 50
+	maxFleets   = 100
+)
+
+// fleets counts the fleets of this process.
+var fleets atomic.Int32
+
+// ownAddr returns an address that no other fleet on the machine uses, so that it need not be
+// bound before a process gets it: the loopback address holds the ID of this process, the port
+// the numbers of the fleet, the VM and the listener.
+func ownAddr(fleet, vm, listener int) string {
+	pid := os.Getpid()
+	host := netip.AddrFrom4([4]byte{127, 64 | byte(pid>>16)&63, byte(pid >> 8), byte(pid)})
+	port := firstPort + portsPerVM*(vmsPerFleet*(fleet%maxFleets)+vm) + listener
+	return netip.AddrPortFrom(host, uint16(port)).String()
 }
 
 func (f *Fleet) settings(vm *VM) []byte {
