--- a/cmd/ebonylockd/serve_platform.go
+++ b/cmd/ebonylockd/serve_platform.go
@@ -29,6 +29,10 @@
 	}
 }
 
+// gcPercent lets the heap, which is small beside the fixed cost of a collection, grow to four
+// times what is in use.
+const gcPercent = 300
+
 // settingsInterval is the time between two looks whether the settings file has changed, as it
 // may do so without a signal.
 const settingsInterval = 2 * time.Second
@@ -40,6 +44,7 @@
 		return err
 	}
 	debug.SetMemoryLimit(memoryLimit)
+	debug.SetGCPercent(gcPercent)
 	d, err := launcher.New(site, os.Stdout)
 	if err != nil {
 		return err
