--- a/cmd/ebonylock/main.go
+++ b/cmd/ebonylock/main.go
@@ -41,6 +41,7 @@
 			queryCommand(),
 			requestCommand(),
 			timelineCommand(),
+			explainCommand(),
 			intentCommand(),
 			vmCommand(),
 			keysCommand(),
--- a/modules/loader/loader_test.go
+++ b/modules/loader/loader_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -30,6 +31,32 @@
 	}
 }
 
+func TestSite(t *testing.T) {
+	is := is.New(t)
+	text := example(t, "site.jsonc")
+	s, err := LoadSite("site.jsonc", []byte(text))
+	is.NoErr(err)
+	is.Equal(s.VM.LinkMbps, 1000.0)
+	is.Equal(s.Bounds.RetryWindow, 10*time.Second)
+	is.Equal(len(s.Peers.Seeds), 1)
+	is.True(s.FirstStart)
+	for _, tc := range []struct{ name, old, new, want string }{
+		{"unknown key", `"grace"`, `"graces"`, "bounds.graces: unknown key"},
+		{"no store", `"store": "127.0.0.1:8229",`, ``, "store: missing"},
+		{"seed", `"127.0.0.1:8224"`, `"host:1"`, "peers.seeds: must be an IP address and port"},
+		{"truth", `"first-start": true`, `"first-start": 1`, "first-start: must be true or false"},
+		{"syntax", `"peers": {`, `"peers": [`, "site.jsonc:"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(strings.Contains(text, tc.old))
+			_, err := LoadSite("site.jsonc", []byte(strings.Replace(text, tc.old, tc.new, 1)))
+			is.True(errors.Is(err, ErrInvalid))
+			is.True(strings.Contains(err.Error(), tc.want))
+		})
+	}
+}
+
 func TestFaults(t *testing.T) {
 	for _, tc := range []struct {
 		name, old, new, want string
@@ -65,5 +92,8 @@
 		if _, err := Load("fuzz", data); err != nil && !errors.Is(err, ErrInvalid) {
 			t.Fatal(err)
 		}
+		if _, err := LoadSite("fuzz", data); err != nil && !errors.Is(err, ErrInvalid) {
+			t.Fatal(err)
+		}
 	})
 }
--- a/modules/loader/site.go
+++ b/modules/loader/site.go
@@ -44,24 +44,16 @@
 	// each request to it, and the slack besides, in any RetryWindow.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
-	// Drain is the time after which a leaving backend server gets no more work.
-	Drain time.Duration
 	// Grace is the time from the request to stop to the end by force.
 	Grace time.Duration
-	// ColdOvershoot and ColdSlack bound the requests that a cold backend server gets in a
-	// second: its own rate times the first and the second besides.
-	ColdOvershoot, ColdSlack float64
 }
 
 func defaultBounds() Bounds {
 	return Bounds{
-		RetryRatio:    0.2,
-		RetrySlack:    50,
-		RetryWindow:   10 * time.Second,
-		Drain:         3 * time.Second,
-		Grace:         6 * time.Second,
-		ColdOvershoot: 1.5,
-		ColdSlack:     5,
+		RetryRatio:  0.2,
+		RetrySlack:  50,
+		RetryWindow: 10 * time.Second,
+		Grace:       6 * time.Second,
 	}
 }
 
@@ -126,12 +118,9 @@
 
 func (s *Bounds) section() section {
 	return section{
-		"retry-ratio":    number(&s.RetryRatio, 0, 10),
-		"retry-slack":    number(&s.RetrySlack, 0, maxSlack),
-		"retry-window":   duration(&s.RetryWindow, time.Millisecond, maxBound),
-		"drain":          duration(&s.Drain, time.Millisecond, maxBound),
-		"grace":          duration(&s.Grace, time.Millisecond, maxBound),
-		"cold-overshoot": number(&s.ColdOvershoot, 0, 1000),
-		"cold-slack":     number(&s.ColdSlack, 0, maxSlack),
+		"retry-ratio":  number(&s.RetryRatio, 0, 10),
+		"retry-slack":  number(&s.RetrySlack, 0, maxSlack),
+		"retry-window": duration(&s.RetryWindow, time.Millisecond, maxBound),
+		"grace":        duration(&s.Grace, time.Millisecond, maxBound),
 	}
 }
--- a/services/forwarder/decider.go
+++ b/services/forwarder/decider.go
@@ -57,7 +57,7 @@
 	gone := 0
 	choices := make([]choice, len(fl.parts))
 	for i, p := range fl.parts {
-		c, expect := fl.f.best(p.list, nil, p.work, p.conns, now)
+		c, expect := fl.f.best(p.list, nil, p.work, p.conns, p.fragile, now)
 		choices[i] = choice{c, expect}
 		switch {
 		case c == nil:
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -35,6 +35,8 @@
 	list    []*registrar.Candidate
 	// conns is the number of connections that this VM may hold to each replica.
 	conns int
+	// fragile is true when cold replicas bear only so many requests.
+	fragile bool
 	// tried are the replicas that had a try.
 	tried []string
 	// tries are those that were begun, in order.
@@ -116,6 +118,7 @@
 			budget:  fl.f.budget(s, fl.state.VMs, now),
 			list:    fl.state.View.Services[s],
 			conns:   conns(fl.state, s),
+			fragile: fl.state.Table.Config.Services[s].ColdPerSecond > 0,
 		}
 		p.budget.Deposit(1, now)
 		fl.parts = append(fl.parts, p)
@@ -251,7 +254,7 @@
 // is none and no try is under way.
 func (fl *flight) launch(p *part, hedge bool) {
 	now := time.Now()
-	c, expect := fl.f.best(p.list, p.tried, p.work, p.conns, now)
+	c, expect := fl.f.best(p.list, p.tried, p.work, p.conns, p.fragile, now)
 	fl.launchTo(p, c, expect, hedge, now)
 }
 
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -47,6 +47,8 @@
 	// distance is the share of the target latency that a replica of another data centre has
 	// to be faster by, in place of the price of the bytes between data centres.
 	distance = 0.2
+	// coldLast is added to the expectation of a cold replica that bears only so many requests.
+	coldLast = 30 * time.Second
 	// noConn is added to the expectation of a replica to which no connection is free.
 	noConn = 5 * time.Second
 )
@@ -174,8 +176,9 @@
 const defaultConns = 8
 
 // best returns the replica with the shortest expected time that is not among tried, and what
-// to expect of it. conns is the number of connections that this VM may hold to each.
-func (f *Forwarder) best(list []*registrar.Candidate, tried []string, w ranker.Work, conns int, now time.Time) (*registrar.Candidate, ranker.Estimate) {
+// to expect of it. conns is the number of connections that this VM may hold to each; fragile
+// says that cold ones bear only so many requests.
+func (f *Forwarder) best(list []*registrar.Candidate, tried []string, w ranker.Work, conns int, fragile bool, now time.Time) (*registrar.Candidate, ranker.Estimate) {
 	var best *registrar.Candidate
 	var expect ranker.Estimate
 	var lowest time.Duration
@@ -191,6 +194,9 @@
 		if e.Running >= conns {
 			cost += noConn
 		}
+		if fragile && now.Before(c.ColdUntil) {
+			cost += coldLast
+		}
 		if c.Fading {
 			cost += time.Minute
 		}
--- a/services/forwarder/forwarder_test.go
+++ b/services/forwarder/forwarder_test.go
@@ -344,7 +344,7 @@
 		p, other := fl.parts[0], fl.parts[1]
 		p.budget.Deposit(10, now) // the slack is taken for spent, the ratio is not
 		p.sent, p.ran = 1, 1
-		c, expect := f.best(p.list, nil, p.work, p.conns, now)
+		c, expect := f.best(p.list, nil, p.work, p.conns, false, now)
 		is.Equal(fl.decline(p, c, expect, false, now), reasonReserved)
 		fl.giveUp(other, reasonUnsound)
 		is.Equal(fl.decline(p, c, expect, false, now), "")
@@ -384,6 +384,26 @@
 	})
 }
 
+// TestColdReplicasComeLast is the pattern of a data centre that returns cold, of servers that
+// bear only so many requests until they are warm.
+func TestColdReplicasComeLast(t *testing.T) {
+	run(t, true, func(*registrar.Candidate) behaviour { return served(7 * time.Millisecond) }, func(is *is.I, f *Forwarder, b *fakeBackend) {
+		state := f.beliefs.State()
+		state.Table.Config.Services["single"] = router.Service{Name: "single", ColdPerSecond: 2}
+		state.View.Services["single"][0].ColdUntil = time.Now().Add(time.Second)
+		get := func() { f.Serve(context.Background(), request("/read/x", time.Second)) }
+		for range 10 {
+			get()
+		}
+		is.Equal(b.sends["single/0"], 0)
+		time.Sleep(time.Second)
+		for range 10 {
+			get()
+		}
+		is.True(b.sends["single/0"] > 0)
+	})
+}
+
 func TestCallerLeaves(t *testing.T) {
 	run(t, true, func(*registrar.Candidate) behaviour { return silent() }, func(is *is.I, f *Forwarder, b *fakeBackend) {
 		ctx, leave := context.WithCancel(context.Background())
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -50,6 +50,8 @@
 	forgetAfter = time.Minute
 	// tick is the time between two looks of the membership protocol for what is due.
 	tick = 100 * time.Millisecond
+	// neverHeard is a gap that is none: no other VM has been heard of since the start.
+	neverHeard = 24 * time.Hour
 	// fenceAfter is the silence that counts as a pause of the process.
 	fenceAfter = 2 * time.Second
 )
@@ -89,6 +91,8 @@
 func New(site loader.Site, out io.Writer) (*Daemon, error) {
 	d := &Daemon{site: site, spool: &spooler.Spooler{Out: out}, stop: make(chan struct{})}
 	log, routine := site.Log.Logger(d.spool.Important()), site.Log.Logger(d.spool.Routine())
+	log.AddHook(named(site.VM.ID))
+	routine.AddHook(named(site.VM.ID))
 	d.log = log
 	d.follow = follower.New(store.Decoder{}, log)
 	d.forward = forwarder.New(forwarder.Config{
@@ -115,6 +119,20 @@
 	return d, err
 }
 
+// named adds the VM's ID to each line, so that the logs of several VMs can be read together.
+type named string
+
+// Levels implements logrus.Hook.
+func (named) Levels() []logrus.Level {
+	return logrus.AllLevels
+}
+
+// Fire implements logrus.Hook.
+func (n named) Fire(e *logrus.Entry) error {
+	e.Data["vm"] = string(n)
+	return nil
+}
+
 // registry returns the metrics of all parts.
 func (d *Daemon) registry() *prometheus.Registry {
 	reg := prometheus.NewRegistry()
@@ -229,6 +247,9 @@
 
 // Paused implements gossiper.Observer.
 func (d *Daemon) Paused(_ time.Time, gap time.Duration) {
+	if gap > neverHeard {
+		return
+	}
 	d.log.WithFields(logrus.Fields{"event": "paused", "gap": gap.String()}).Warn("the process was paused")
 }
 
