Requests that crash replicas are barred on all VMs after two losses

A broken connection alone says nothing; if the replica then takes no connection either, the request is reported, told to the other VMs over the relay's port, and refused after two losses, unless it has ever had a whole reply.

--- a/services/forwarder/chronicle.go
+++ b/services/forwarder/chronicle.go
@@ -21,6 +21,7 @@
 	outcomeCallerLeft = "caller-left"
 	outcomeNoRoute    = "no-route"
 	outcomeNoConfig   = "no-configuration"
+	outcomeBarred     = "crashes-replicas"
 )
 
 // record counts the end of a request and writes its line. Plain answers go to the log whose
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ebonylock/ebonylock/modules/budgeter"
+	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/ranker"
 	"github.com/ebonylock/ebonylock/modules/registrar"
 	"github.com/ebonylock/ebonylock/modules/router"
@@ -102,6 +103,10 @@
 	// need is the number of parts without which there is no answer, at least 1.
 	need    int
 	results chan result
+	// print identifies requests that are the same to a replica.
+	print quarantiner.Fingerprint
+	// proven is true once a reply has shown that the request is harmless.
+	proven bool
 	// anyRan is true once any try ended that may have run.
 	anyRan bool
 }
@@ -318,6 +323,9 @@
 	}
 	change := fl.f.ranks.End(t.to.Key, t.part.work, run, now)
 	fl.f.logChange(t, change, err)
+	if errors.Is(err, ErrLost) && fl.ctx.Err() == nil {
+		go fl.f.checkLoss(t.to, fl.print, now)
+	}
 	fl.results <- result{try: t, reply: reply, err: err, at: now}
 }
 
@@ -360,6 +368,7 @@
 	}
 	if r.err == nil && r.reply.Success() {
 		p.reply, p.ended = r.reply, true
+		fl.prove()
 		p.over.Store(true)
 		return
 	}
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/ebonylock/ebonylock/modules/budgeter"
+	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/ranker"
 	"github.com/ebonylock/ebonylock/modules/registrar"
 	"github.com/ebonylock/ebonylock/modules/router"
@@ -28,6 +29,10 @@
 	FirstStart bool
 	// CallerDelay is the time from a VM to a caller, one way.
 	CallerDelay time.Duration
+	// Losses is told of requests that crash replicas; nil for none.
+	Losses Losses
+	// Announce tells other VMs of a loss; nil for none.
+	Announce func(l quarantiner.Loss)
 	// Log takes the lines that are kept first, Routine those of plain answers.
 	Log, Routine *logrus.Logger
 }
@@ -93,6 +98,10 @@
 	if m == nil {
 		return f.recorded(nil, r, Answer{Status: http.StatusNotFound}, outcomeNoRoute)
 	}
+	fp := quarantiner.Of(r.Method+" "+r.Host+r.Target, r.Body)
+	if f.barred(fp, r.Arrived) {
+		return f.recorded(nil, r, notRun(0), outcomeBarred)
+	}
 	patience := r.Patience
 	if patience <= 0 {
 		patience = defaultPatience
@@ -107,6 +116,7 @@
 		deadline: r.Arrived.Add(min(patience, m.Timeout)),
 		target:   r.Arrived.Add(m.Target - used),
 		used:     used,
+		print:    fp,
 	}
 	var a Answer
 	if n := len(m.Shards); n > 0 {
--- a/services/forwarder/forwarder_test.go
+++ b/services/forwarder/forwarder_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/ranker"
 	"github.com/ebonylock/ebonylock/modules/registrar"
 	"github.com/ebonylock/ebonylock/modules/router"
@@ -34,6 +35,7 @@
 	sends    map[string]int
 	byShard  map[string]int
 	warmed   []string
+	down     map[string]bool
 	canceled int
 	most     time.Duration
 }
@@ -69,6 +71,15 @@
 	return nil
 }
 
+func (b *fakeBackend) Reach(_ context.Context, c *registrar.Candidate) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.down[c.ID] {
+		return ErrUnsent
+	}
+	return nil
+}
+
 func (b *fakeBackend) warmUps() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -404,6 +415,55 @@
 	})
 }
 
+// TestRequestThatCrashesReplicas is the pattern of a request that takes down each replica that
+// begins to run it and comes again at any VM: a few replicas are lost, then it is refused.
+func TestRequestThatCrashesReplicas(t *testing.T) {
+	poison := false
+	run(t, true, func(*registrar.Candidate) behaviour {
+		if poison {
+			return behaviour{after: time.Millisecond, err: ErrLost}
+		}
+		return served(time.Millisecond)
+	}, func(is *is.I, f *Forwarder, b *fakeBackend) {
+		var losses, elsewhere quarantiner.Register
+		f.cfg.Losses = &losses
+		f.cfg.Announce = func(l quarantiner.Loss) { elsewhere.Report(l) }
+		ask := func(path string) Answer {
+			a := f.Serve(context.Background(), request(path, time.Second))
+			synctest.Wait()
+			return a
+		}
+		// Lost replies alone bar nothing.
+		is.Equal(ask("/read/harmless").Status, 200)
+		poison = true
+		for range 5 {
+			ask("/read/lost-replies")
+		}
+		before := b.total()
+		ask("/read/lost-replies")
+		is.True(b.total() > before)
+		// Replicas that go down do.
+		b.down = map[string]bool{"single/0": true, "single/1": true, "single/2": true}
+		for range 3 {
+			ask("/read/poison")
+			time.Sleep(time.Second)
+		}
+		before = b.total()
+		a := ask("/read/poison")
+		is.Equal(a.Status, http.StatusServiceUnavailable)
+		is.Equal(b.total(), before)
+		fp := quarantiner.Of("GET h/read/poison", nil)
+		is.Equal(elsewhere.Verdict(fp, time.Now()), quarantiner.Barred) // other VMs know
+		// What has ever had a reply is never barred for what crashes beside it.
+		for range 3 {
+			ask("/read/harmless")
+			time.Sleep(time.Second)
+		}
+		poison = false
+		is.Equal(ask("/read/harmless").Status, 200)
+	})
+}
+
 func TestCallerLeaves(t *testing.T) {
 	run(t, true, func(*registrar.Candidate) behaviour { return silent() }, func(is *is.I, f *Forwarder, b *fakeBackend) {
 		ctx, leave := context.WithCancel(context.Background())
--- a/services/forwarder/types.go
+++ b/services/forwarder/types.go
@@ -7,6 +7,7 @@
 	"errors"
 	"time"
 
+	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/ranker"
 	"github.com/ebonylock/ebonylock/modules/registrar"
 	"github.com/ebonylock/ebonylock/modules/router"
@@ -109,6 +110,18 @@
 	Send(ctx context.Context, c *registrar.Candidate, m Message, wanted func() bool) (*Reply, error)
 	// Warm opens a connection to a replica if there is none.
 	Warm(ctx context.Context, c *registrar.Candidate) error
+	// Reach returns nil if a replica takes connections.
+	Reach(ctx context.Context, c *registrar.Candidate) error
+}
+
+// Losses are the replicas that requests have crashed, on all VMs.
+type Losses interface {
+	// Verdict returns how a request may be run.
+	Verdict(f quarantiner.Fingerprint, now time.Time) quarantiner.Verdict
+	// Prove takes in that a request had a whole reply.
+	Prove(f quarantiner.Fingerprint)
+	// Report takes in a loss; it returns true when it is new.
+	Report(l quarantiner.Loss) bool
 }
 
 // State is what a VM believes at one moment. It never changes.
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -16,6 +16,7 @@
 
 	"github.com/ebonylock/ebonylock/modules/loader"
 	"github.com/ebonylock/ebonylock/modules/prober"
+	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/router"
 	"github.com/ebonylock/ebonylock/modules/spooler"
 	"github.com/ebonylock/ebonylock/platform/readier"
@@ -80,6 +81,8 @@
 	gossip   *gossiper.Gossiper
 	relay    *relayer.Server
 	guide    guide
+	// losses are the replicas that requests have crashed.
+	losses   quarantiner.Register
 	stopping atomic.Bool
 	// closing is true once new requests are refused.
 	closing  atomic.Bool
@@ -104,6 +107,8 @@
 		CallerDelay: callerDelay,
 		Log:         log,
 		Routine:     routine,
+		Losses:      &d.losses,
+		Announce:    d.guide.announce,
 	}, d.follow, &d.backend)
 	if err := d.join(); err != nil {
 		return nil, err
@@ -166,6 +171,7 @@
 	if d.relay, err = relayer.Listen(d.site.Peers.Link, relayKeys, &d.follow.Copy); err != nil {
 		return err
 	}
+	d.relay.OnLoss = func(l quarantiner.Loss) { d.losses.Report(l) }
 	d.guide = guide{self: d.site.VM.ID, store: store.New(d.site.Store), keys: relayKeys, log: d.log}
 	self := prober.Member{
 		ID:          d.site.VM.ID,
--- a/services/launcher/sources.go
+++ b/services/launcher/sources.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/ebonylock/ebonylock/modules/prober"
+	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/services/follower"
 	"github.com/ebonylock/ebonylock/services/relayer"
 	"github.com/ebonylock/ebonylock/services/replicator"
@@ -44,6 +45,33 @@
 	relays map[netip.AddrPort]*relayer.Client
 }
 
+// announce tells all other VMs of a loss. A VM that does not hear of it learns by its own.
+func (g *guide) announce(l quarantiner.Loss) {
+	for _, c := range g.others() {
+		go func() {
+			if err := c.Tell(l); err != nil {
+				g.log.WithField("event", "loss-untold").WithError(err).Info("another VM was not told of a loss")
+			}
+		}()
+	}
+}
+
+// others returns the clients of all other live VMs.
+func (g *guide) others() []*relayer.Client {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []*relayer.Client
+	for _, m := range g.ranked {
+		if m.ID == g.self {
+			continue
+		}
+		if _, ok := g.relay(m); ok {
+			out = append(out, g.relays[m.Link])
+		}
+	}
+	return out
+}
+
 // rank orders the live VMs: those with the fastest link first, as all others read from them,
 // and the first ones of different data centres.
 func rank(members []prober.Member) []prober.Member {
--- a/services/relayer/relayer.go
+++ b/services/relayer/relayer.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/ebonylock/ebonylock/modules/fetcher"
+	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/sealer"
 	"github.com/ebonylock/ebonylock/services/replicator"
 )
@@ -24,6 +25,10 @@
 const (
 	// pathRead is where a VM answers others.
 	pathRead = "/relay/1"
+	// pathLoss is where a VM hears of replicas that requests have crashed.
+	pathLoss = "/losses/1"
+	// lossTimeout limits the telling of one.
+	lossTimeout = 500 * time.Millisecond
 	// maxWait bounds the time for which a question may wait.
 	maxWait = 30 * time.Second
 	// maxQuestion bounds a question, in bytes.
@@ -38,6 +43,8 @@
 
 // Server answers other VMs from a source.
 type Server struct {
+	// OnLoss takes in a loss that another VM tells of; nil for none. It is set before Serve.
+	OnLoss func(l quarantiner.Loss)
 	source replicator.Source
 	sealer *sealer.Sealer
 	ln     net.Listener
@@ -87,7 +94,8 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != pathRead {
+	path := string(ctx.Path())
+	if path != pathRead && path != pathLoss {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
@@ -96,6 +104,10 @@
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
 		return
 	}
+	if path == pathLoss {
+		s.takeLoss(ctx, plain)
+		return
+	}
 	q, err := decodeQuestion(plain)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
@@ -117,6 +129,17 @@
 	}
 }
 
+func (s *Server) takeLoss(ctx *fasthttp.RequestCtx, plain []byte) {
+	l, err := decodeLoss(plain)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	if s.OnLoss != nil {
+		s.OnLoss(l)
+	}
+}
+
 // compressed returns the compressed form of b, the answer to q.
 func (s *Server) compressed(q question, b replicator.Batch) []byte {
 	s.mu.Lock()
@@ -185,3 +208,16 @@
 	}
 	return b, nil
 }
+
+// Tell tells the other VM of a loss.
+func (c *Client) Tell(l quarantiner.Loss) error {
+	body := c.sealer.Seal(appendLoss(nil, l))
+	code, _, err := c.c.Raw(fasthttp.MethodPost, pathLoss, "application/octet-stream", body, time.Now().Add(lossTimeout))
+	if err != nil {
+		return oops.Wrap(errors.Join(ErrUnreachable, err))
+	}
+	if code != fasthttp.StatusOK {
+		return oops.Wrapf(ErrUnreachable, "status %d", code)
+	}
+	return nil
+}
--- a/services/relayer/relayer_test.go
+++ b/services/relayer/relayer_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/ebonylock/ebonylock/modules/fetcher"
+	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/services/replicator"
 )
 
@@ -104,6 +105,21 @@
 	}
 }
 
+func TestLossIsTold(t *testing.T) {
+	is := is.New(t)
+	s, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), keys, &replicator.Copy{})
+	is.NoErr(err)
+	heard := make(chan quarantiner.Loss, 1)
+	s.OnLoss = func(l quarantiner.Loss) { heard <- l }
+	go func() { _ = s.Serve() }()
+	defer s.Close()
+	c, err := NewClient(s.Addr(), keys)
+	is.NoErr(err)
+	l := quarantiner.Loss{Fingerprint: 1 << 63, Server: "i-1", At: time.UnixMilli(1767225600000)}
+	is.NoErr(c.Tell(l))
+	is.Equal(<-heard, l)
+}
+
 // TestSameBatchIsCompressedOnce checks what many followers at one revision share.
 func TestSameBatchIsCompressedOnce(t *testing.T) {
 	is := is.New(t)
