--- a/services/forwarder/decider.go
+++ b/services/forwarder/decider.go
@@ -42,9 +42,10 @@
 	reasonTooSlow   = "too-slow"
 )
 
-// needed is the number of shards without which there is no answer.
+// needed is the number of shards without which there is no answer: the least one whose share
+// reaches the given one.
 func needed(share float64, shards int) int {
-	// The share may be a rounded one, such as 0.89 of 9 shards for 8.
+	// A product such as 0.8 of 10 may come out just above 8.
 	return max(int(math.Ceil(share*float64(shards)-1e-9)), 1)
 }
 
@@ -96,7 +97,7 @@
 	return e.Runs >= certain && now.Sub(e.Seen) < recent && float64(e.Mean) > hopeless*float64(left)
 }
 
-// pivotal reports whether there is no answer without p.
+// pivotal reports whether there is no answer if one more part is lost.
 func (fl *flight) pivotal() bool {
 	lost := 0
 	for _, p := range fl.parts {
--- a/services/linker/codec.go
+++ b/services/linker/codec.go
@@ -336,13 +336,15 @@
 	lossAt          = 3
 )
 
-func appendLoss(b []byte, l quarantiner.Loss) []byte {
+// AppendLoss writes a loss in the form that VMs tell each other.
+func AppendLoss(b []byte, l quarantiner.Loss) []byte {
 	b = encoder.AppendVarint(b, lossFingerprint, uint64(l.Fingerprint))
 	b = encoder.AppendBytes(b, lossServer, []byte(l.Server))
 	return encoder.AppendVarint(b, lossAt, unixMicro(l.At))
 }
 
-func decodeLoss(b []byte) (quarantiner.Loss, error) {
+// DecodeLoss reads what AppendLoss wrote. Errors match encoder.ErrMalformed.
+func DecodeLoss(b []byte) (quarantiner.Loss, error) {
 	var l quarantiner.Loss
 	err := encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) error {
 		switch num {
--- a/services/linker/linker.go
+++ b/services/linker/linker.go
@@ -223,7 +223,7 @@
 }
 
 func (l *Linker) serveLoss(stream *quic.Stream, payload []byte) error {
-	loss, err := decodeLoss(payload)
+	loss, err := DecodeLoss(payload)
 	if err != nil {
 		return err
 	}
@@ -397,7 +397,7 @@
 
 // Lost tells the remote VM of a server lost while it ran a request.
 func (r Remote) Lost(ctx context.Context, loss quarantiner.Loss) error {
-	_, err := r.call(ctx, frameLoss, appendLoss(nil, loss), frameEnd)
+	_, err := r.call(ctx, frameLoss, AppendLoss(nil, loss), frameEnd)
 	return err
 }
 
--- a/services/relayer/codec.go
+++ b/services/relayer/codec.go
@@ -7,7 +7,6 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/ebonylock/ebonylock/modules/encoder"
-	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/services/replicator"
 )
 
@@ -168,32 +167,3 @@
 	out.Age = age
 	return out, err
 }
-
-// Field numbers of a loss.
-const (
-	lossFingerprint protowire.Number = 1
-	lossServer      protowire.Number = 2
-	lossAt          protowire.Number = 3
-)
-
-func appendLoss(b []byte, l quarantiner.Loss) []byte {
-	b = encoder.AppendVarint(b, lossFingerprint, uint64(l.Fingerprint))
-	b = encoder.AppendBytes(b, lossServer, []byte(l.Server))
-	return encoder.AppendVarint(b, lossAt, uint64(l.At.UnixMilli()))
-}
-
-func decodeLoss(b []byte) (quarantiner.Loss, error) {
-	var l quarantiner.Loss
-	err := encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) error {
-		switch num {
-		case lossFingerprint:
-			l.Fingerprint = quarantiner.Fingerprint(v)
-		case lossServer:
-			l.Server = string(raw)
-		case lossAt:
-			l.At = time.UnixMilli(int64(v))
-		}
-		return nil
-	})
-	return l, err
-}
--- a/services/relayer/relayer.go
+++ b/services/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"github.com/ebonylock/ebonylock/modules/fetcher"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/sealer"
+	"github.com/ebonylock/ebonylock/services/linker"
 	"github.com/ebonylock/ebonylock/services/replicator"
 )
 
@@ -130,7 +131,7 @@
 }
 
 func (s *Server) takeLoss(ctx *fasthttp.RequestCtx, plain []byte) {
-	l, err := decodeLoss(plain)
+	l, err := linker.DecodeLoss(plain)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
@@ -211,7 +212,7 @@
 
 // Tell tells the other VM of a loss.
 func (c *Client) Tell(l quarantiner.Loss) error {
-	body := c.sealer.Seal(appendLoss(nil, l))
+	body := c.sealer.Seal(linker.AppendLoss(nil, l))
 	code, _, err := c.c.Raw(fasthttp.MethodPost, pathLoss, "application/octet-stream", body, time.Now().Add(lossTimeout))
 	if err != nil {
 		return oops.Wrap(errors.Join(ErrUnreachable, err))
