--- a/services/forwarder/chronicle.go
+++ b/services/forwarder/chronicle.go
@@ -28,12 +28,8 @@
 // lines are dropped first, without their tries.
 func (f *Forwarder) record(fl *flight, r *Request, a *Answer, outcome string, now time.Time) {
 	took := now.Sub(r.Arrived)
-	kind := "single"
-	if a.Gathered || (fl != nil && len(fl.route.Shards) > 0) {
-		kind = "gathered"
-	}
 	f.metrics.requests.WithLabelValues(outcome, strconv.Itoa(a.Status)).Inc()
-	f.metrics.latency.WithLabelValues(kind).Observe(took.Seconds())
+	f.metrics.latency.WithLabelValues(fl.kind()).Observe(took.Seconds())
 	fields := logrus.Fields{
 		"event": "request", "id": r.ID, "outcome": outcome, "status": a.Status,
 		"took-ms": milliseconds(took), "patience-ms": milliseconds(r.Patience),
@@ -49,31 +45,47 @@
 	fields["route"], fields["version"] = fl.route.Name, fl.state.Table.Config.Version
 	fields["target-ms"], fields["used-ms"] = milliseconds(fl.route.Target), milliseconds(fl.used)
 	fields["beliefs-age-ms"] = milliseconds(now.Sub(f.beliefs.Fresh()))
-	plain := outcome == outcomeAnswered
-	var missing, tries []string
+	fields["parts"] = len(fl.parts)
+	missing, tries := fl.account(now)
+	if outcome == outcomeAnswered && len(tries) == 0 {
+		f.routine.WithFields(fields).Info("request ended")
+		return
+	}
+	fields["missing"], fields["tries"], fields["budget"] = missing, tries, fl.parts[0].budget.Fullness(now)
+	f.log.WithFields(fields).Info("request ended")
+}
+
+// kind is that of the request, for the metrics; fl is nil for one that met no route.
+func (fl *flight) kind() string {
+	switch {
+	case fl == nil:
+		return "none"
+	case len(fl.route.Shards) > 0:
+		return "gathered"
+	}
+	return "single"
+}
+
+// account counts the parts left out. It returns them with their reasons, and the tries of all
+// parts that took more than one or came to nothing.
+func (fl *flight) account(now time.Time) (missing, tries []string) {
 	for _, p := range fl.parts {
 		if p.reply == nil {
 			reason := p.reason
 			if !p.ended {
-				reason = "no-reply-yet"
+				reason = reasonNoReply
 			}
-			f.metrics.missing.WithLabelValues(reason).Inc()
+			fl.f.metrics.missing.WithLabelValues(reason).Inc()
 			missing = append(missing, p.service+" "+reason)
 		}
-		if p.reply == nil || len(p.tries) > 1 {
-			plain = false
-			for _, t := range p.tries {
-				tries = append(tries, t.describe(r.Arrived, now))
-			}
+		if p.reply != nil && len(p.tries) == 1 {
+			continue
+		}
+		for _, t := range p.tries {
+			tries = append(tries, t.describe(fl.r.Arrived, now))
 		}
 	}
-	fields["parts"] = len(fl.parts)
-	if plain {
-		f.routine.WithFields(fields).Info("request ended")
-		return
-	}
-	fields["missing"], fields["tries"], fields["budget"] = missing, tries, fl.parts[0].budget.Fullness(now)
-	f.log.WithFields(fields).Info("request ended")
+	return missing, tries
 }
 
 // describe gives a try as "service replica data-centre kind begin took end", times in
--- a/services/forwarder/crasher.go
+++ b/services/forwarder/crasher.go
@@ -41,7 +41,7 @@
 	if !f.cfg.Losses.Report(l) {
 		return
 	}
-	f.log.WithFields(logrus.Fields{"event": "replica-lost", "replica": c.ID, "service": c.Service, "request-print": uint64(fp)}).Warn("a replica went down while it ran a request")
+	f.log.WithFields(logrus.Fields{"event": "replica-lost", "replica": c.ID, "service": c.Service, "fingerprint": uint64(fp)}).Warn("a replica went down while it ran a request")
 	if f.cfg.Announce != nil {
 		f.cfg.Announce(l)
 	}
--- a/services/forwarder/decider.go
+++ b/services/forwarder/decider.go
@@ -30,16 +30,18 @@
 	recent  = 300 * time.Millisecond
 )
 
-// Reasons against a try. They are stable codes.
+// Reasons against a try, and for parts without a reply. They are stable codes.
 const (
-	reasonNoReplica = "no-replica"
-	reasonNoOther   = "no-other-replica"
-	reasonAttempts  = "attempts"
-	reasonRefused   = "refused"
-	reasonUnsound   = "no-sound-replica"
-	reasonBudget    = "budget"
-	reasonReserved  = "budget-reserved"
-	reasonTooSlow   = "too-slow"
+	reasonNoReplica  = "no-replica"
+	reasonNoOther    = "no-other-replica"
+	reasonAttempts   = "attempts"
+	reasonRefused    = "refused"
+	reasonUnsound    = "no-sound-replica"
+	reasonBudget     = "budget"
+	reasonReserved   = "budget-reserved"
+	reasonTooSlow    = "too-slow"
+	reasonNoReply    = "no-reply-yet"
+	reasonMayHaveRun = "may-have-run"
 )
 
 // needed is the number of shards without which there is no answer: the least one whose share
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -103,7 +103,7 @@
 	// need is the number of parts without which there is no answer, at least 1.
 	need    int
 	results chan result
-	// print identifies requests that are the same to a replica.
+	// fingerprint identifies requests that are the same to a replica.
 	print quarantiner.Fingerprint
 	// proven is true once a reply has shown that the request is harmless.
 	proven bool
@@ -379,7 +379,7 @@
 		return
 	}
 	if !notRun && !fl.route.Idempotent {
-		fl.giveUp(p, "may-have-run")
+		fl.giveUp(p, reasonMayHaveRun)
 		return
 	}
 	p.hedgeAt = time.Time{}
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,6 +53,8 @@
 	// distance is the share of the target latency that a replica of another data centre has
 	// to be faster by, in place of the price of the bytes between data centres.
 	distance = 0.2
+	// fadingLast is added to the expectation of a replica whose entry is missing.
+	fadingLast = time.Minute
 	// coldLast is added to the expectation of a cold replica that bears only so many requests.
 	coldLast = 30 * time.Second
 	// noConn is added to the expectation of a replica to which no connection is free.
@@ -193,7 +196,7 @@
 	var expect ranker.Estimate
 	var lowest time.Duration
 	for _, c := range list {
-		if contains(tried, c.ID) {
+		if slices.Contains(tried, c.ID) {
 			continue
 		}
 		e := f.ranks.Estimate(c.Key, c.Slots, w, now)
@@ -208,7 +211,7 @@
 			cost += coldLast
 		}
 		if c.Fading {
-			cost += time.Minute
+			cost += fadingLast
 		}
 		if best == nil || cost < lowest {
 			best, expect, lowest = c, e, cost
@@ -217,15 +220,6 @@
 	return best, expect
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 // Refuse is the answer to a request that was not looked at.
 func Refuse() Answer {
 	return notRun(unknownRetry)
