--- a/services/forwarder/crasher.go
+++ b/services/forwarder/crasher.go
@@ -21,7 +21,7 @@
 // prove takes in that a replica has given a whole reply.
 func (fl *flight) prove() {
 	if !fl.proven && fl.f.cfg.Losses != nil {
-		fl.f.cfg.Losses.Prove(fl.print)
+		fl.f.cfg.Losses.Prove(fl.fingerprint)
 	}
 	fl.proven = true
 }
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -104,7 +104,7 @@
 	need    int
 	results chan result
 	// fingerprint identifies requests that are the same to a replica.
-	print quarantiner.Fingerprint
+	fingerprint quarantiner.Fingerprint
 	// proven is true once a reply has shown that the request is harmless.
 	proven bool
 	// anyRan is true once any try ended that may have run.
@@ -324,7 +324,7 @@
 	change := fl.f.ranks.End(t.to.Key, t.part.work, run, now)
 	fl.f.logChange(t, change, err)
 	if errors.Is(err, ErrLost) && fl.ctx.Err() == nil {
-		go fl.f.checkLoss(t.to, fl.print, now)
+		go fl.f.checkLoss(t.to, fl.fingerprint, now)
 	}
 	fl.results <- result{try: t, reply: reply, err: err, at: now}
 }
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -111,15 +111,15 @@
 	}
 	used := f.used(m.Route, r, patience)
 	fl := &flight{
-		f:        f,
-		state:    state,
-		route:    m.Route,
-		r:        r,
-		ctx:      ctx,
-		deadline: r.Arrived.Add(min(patience, m.Timeout)),
-		target:   r.Arrived.Add(m.Target - used),
-		used:     used,
-		print:    fp,
+		f:           f,
+		state:       state,
+		route:       m.Route,
+		r:           r,
+		ctx:         ctx,
+		deadline:    r.Arrived.Add(min(patience, m.Timeout)),
+		target:      r.Arrived.Add(m.Target - used),
+		used:        used,
+		fingerprint: fp,
 	}
 	var a Answer
 	if n := len(m.Shards); n > 0 {
