--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzDecodeEvent -fuzztime $(FUZZTIME) ./services/linker
 	$(GO) test -run '^$$' -fuzz FuzzLoad -fuzztime $(FUZZTIME) ./modules/loader
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./platform/requester
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./platform/operator
 	$(GO) test -run '^$$' -fuzz FuzzReply -fuzztime $(FUZZTIME) ./platform/replica
 	$(GO) test -run '^$$' -fuzz FuzzDecodeReply -fuzztime $(FUZZTIME) ./services/relayer
 
--- a/tests/cmd/standin/main.go
+++ b/tests/cmd/standin/main.go
@@ -122,7 +122,38 @@
 	if err := f.Stop(); err != nil {
 		return err
 	}
-	return asked
+	if asked != nil {
+		return asked
+	}
+	return demoSite()
+}
+
+// siteVMs is the number of VMs on the stand-ins of the users' platform.
+const siteVMs = 3
+
+// demoSite does the same on the stand-ins of the users' platform.
+func demoSite() error {
+	exe, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	f, err := fleet.StartSite(filepath.Dir(exe), siteVMs, io.Discard)
+	if err != nil {
+		return err
+	}
+	defer f.Kill()
+	for _, vm := range f.VMs {
+		if err := f.Whole(vm); err != nil {
+			return err
+		}
+		fmt.Printf("%s on the users' platform: all parts\n", vm.ID)
+	}
+	for _, vm := range f.VMs {
+		if err := vm.Stop(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // ask sends one search and one request, and fails unless both answers are whole.
