A stopping VM answers what comes as it leaves

The VM now refuses what is new once it has decided, and ends when all that was read is answered. Ruled out: the grace (2.7 s were left) and the balancer (it sends for 3 s and more). Test: TestRequestAsTheVMLeaves, failing without the last wait of stop. The decision is a part of its own (stopper), without network.

--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -318,24 +318,17 @@
 func (d *Daemon) shutdown(ctx context.Context) {
 	began := time.Now()
 	d.stopping.Store(true)
-	d.callers.Drain()
 	d.log.WithField("event", "stop").Info("graceful shutdown started")
-	end := began.Add(d.site.Bounds.Grace - endMargin)
-	ticker := time.NewTicker(20 * time.Millisecond)
-	defer ticker.Stop()
-	for ctx.Err() == nil {
-		now := <-ticker.C
-		if now.After(end.Add(-lastCall)) {
-			d.closing.Store(true)
-		}
-		idle := d.callers.InFlight() == 0
-		if now.After(end) || (idle && now.Sub(began) > leastDrain && now.Sub(d.callers.LastTraffic()) > quiet) {
-			break
-		}
-	}
-	d.gossip.Leave()
-	d.log.WithFields(logrus.Fields{"event": "stopped", "in-flight": d.callers.InFlight(), "took": time.Since(began).String()}).Info("graceful shutdown ended")
-	d.spool.Flush(flushTimeout)
+	stopper{
+		traffic: d.callers,
+		grace:   d.site.Bounds.Grace,
+		refuse:  func() { d.closing.Store(true) },
+		leave: func() {
+			d.gossip.Leave()
+			d.log.WithFields(logrus.Fields{"event": "stopped", "in-flight": d.callers.InFlight(), "took": time.Since(began).String()}).Info("graceful shutdown ends")
+			d.spool.Flush(flushTimeout)
+		},
+	}.stop(ctx)
 }
 
 // sweep drops what was not used for long.
