--- a/modules/registrar/registrar.go
+++ b/modules/registrar/registrar.go
@@ -26,11 +26,6 @@
 	ColdUntil time.Time
 }
 
-// Same reports whether r and o are the same start at the same place.
-func (r Replica) Same(o Replica) bool {
-	return r.ID == o.ID && r.Born.Equal(o.Born) && r.Addr == o.Addr && r.Service == o.Service
-}
-
 // Candidate is a Replica that may be used.
 type Candidate struct {
 	Replica
@@ -101,16 +96,6 @@
 	return gone
 }
 
-// Missing reports whether any entry is missing and not yet dropped.
-func (r *Register) Missing() bool {
-	for _, e := range r.entries {
-		if !e.missing.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
 // View returns what may be used.
 func (r *Register) View() *View {
 	v := &View{Services: make(map[string][]*Candidate)}
--- a/modules/router/router.go
+++ b/modules/router/router.go
@@ -77,8 +77,6 @@
 	Config Config
 	// hosts holds the routes of each host, longest prefix first.
 	hosts map[string][]*entry
-	// services holds every service that a route names.
-	services map[string]bool
 }
 
 // entry is a route with the state of its split.
@@ -91,19 +89,13 @@
 
 // New returns the Table of cfg.
 func New(cfg Config) *Table {
-	t := &Table{Config: cfg, hosts: make(map[string][]*entry), services: make(map[string]bool)}
+	t := &Table{Config: cfg, hosts: make(map[string][]*entry)}
 	for _, r := range cfg.Routes {
 		e := &entry{Route: r, credits: make([]float64, len(r.Shares))}
-		total := 0.0
 		for i, s := range r.Shares {
-			t.services[s.Service] = true
-			total += s.Weight
 			// A random phase keeps VMs from choosing in step after a change.
 			e.credits[i] = s.Weight * rand.Float64()
 		}
-		for _, s := range r.Shards {
-			t.services[s] = true
-		}
 		t.hosts[r.Host] = append(t.hosts[r.Host], e)
 	}
 	for _, routes := range t.hosts {
@@ -112,11 +104,6 @@
 	return t
 }
 
-// Names reports whether a route names the service.
-func (t *Table) Names(service string) bool {
-	return t.services[service]
-}
-
 // Match returns the route of a request, nil if there is none.
 func (t *Table) Match(host, path string) *Match {
 	for _, e := range t.hosts[Host(host)] {
--- a/services/follower/run.go
+++ b/services/follower/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/ebonylock/ebonylock/modules/pauser"
 	"github.com/ebonylock/ebonylock/services/replicator"
 )
 
@@ -74,7 +75,7 @@
 // Follow keeps the beliefs up to date over the given number of lanes until ctx ends.
 func (f *Follower) Follow(ctx context.Context, lanes int, guide Guide) {
 	f.first(ctx, guide)
-	sleep(ctx, settleTime)
+	pauser.Pause(ctx, settleTime)
 	var wg sync.WaitGroup
 	for i := range lanes {
 		l := &lane{f: f, index: i, guide: guide, failed: make(map[string]time.Time), pause: firstRetry}
@@ -104,7 +105,7 @@
 		}
 		stop()
 		if !got {
-			sleep(ctx, pause)
+			pauser.Pause(ctx, pause)
 			pause = min(2*pause, lastRetry)
 		}
 	}
@@ -125,18 +126,11 @@
 	return b.Mark, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (l *lane) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		s, ok := l.pick(time.Now())
 		if !ok {
-			sleep(ctx, l.pause)
+			pauser.Pause(ctx, l.pause)
 			l.pause = min(2*l.pause, lastRetry)
 			continue
 		}
@@ -200,7 +194,7 @@
 			return errStale
 		}
 		if s.Store && len(b.Items) > 0 {
-			sleep(ctx, gatherTime)
+			pauser.Pause(ctx, gatherTime)
 		}
 		if better, ok := l.pick(now); ok && better.Name != s.Name && now.Sub(began) > homesickAfter {
 			return errPreferred
--- a/services/forwarder/warmer.go
+++ b/services/forwarder/warmer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/ebonylock/ebonylock/modules/pauser"
 	"github.com/ebonylock/ebonylock/modules/registrar"
 )
 
@@ -25,7 +26,7 @@
 	for ctx.Err() == nil {
 		state := f.beliefs.State()
 		if state == nil || state.View == seen {
-			pause(ctx, lookInterval)
+			pauser.Pause(ctx, lookInterval)
 			continue
 		}
 		seen = state.View
@@ -36,18 +37,11 @@
 				f.log.WithField("event", "warm").WithField("replica", c.ID).WithError(err).Info("no connection opened ahead")
 			}
 			cancel()
-			pause(ctx, warmInterval)
+			pauser.Pause(ctx, warmInterval)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // cold returns the replicas of the own data centre that are not among warmed, and drops those
 // from warmed that are gone.
 func (f *Forwarder) cold(v *registrar.View, warmed map[string]bool) []*registrar.Candidate {
--- a/tests/site/replica.go
+++ b/tests/site/replica.go
@@ -35,7 +35,7 @@
 // Replica is a backend server whose every reply is scripted.
 type Replica struct {
 	ln net.Listener
-	// Respond gives the reply to the request; it may be replaced before the first one.
+	// respond gives the reply to a request.
 	respond func(g Got) Reply
 
 	mu    sync.Mutex
--- a/tests/site/store.go
+++ b/tests/site/store.go
@@ -43,7 +43,7 @@
 type Store struct {
 	ln  net.Listener
 	srv *http.Server
-	// PageSize is the most items in a page.
+	// pageSize is the most items in a page.
 	pageSize int
 
 	mu       sync.Mutex
@@ -84,14 +84,6 @@
 	_ = s.srv.Close()
 }
 
-// Cut breaks all connections.
-func (s *Store) Cut() {
-	s.mu.Lock()
-	close(s.changed)
-	s.changed = make(chan struct{})
-	s.mu.Unlock()
-}
-
 // SetFaults replaces the faults.
 func (s *Store) SetFaults(f Faults) {
 	s.mu.Lock()
