--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,8 +61,9 @@
 	over atomic.Bool
 }
 
-// try is one send of a part.
+// try is one send of a part. It implements Sending.
 type try struct {
+	fl    *flight
 	part  *part
 	to    *registrar.Candidate
 	began time.Time
@@ -73,6 +75,8 @@
 	// took and end are set when the flight takes in the result.
 	took time.Duration
 	end  string
+	// exchange is what the Backend does for it.
+	exchange Exchange
 }
 
 type result struct {
@@ -82,8 +86,35 @@
 	at    time.Time
 }
 
-// flight is one request under way. It belongs to the goroutine that serves the request; each
-// try runs in a goroutine of its own and reports through results.
+// inbox takes in the ends of tries from any goroutine.
+type inbox struct {
+	mu      sync.Mutex
+	results []result
+	// arrived has room for one value, which says that results is not empty.
+	arrived chan struct{}
+}
+
+func (i *inbox) add(r result) {
+	i.mu.Lock()
+	i.results = append(i.results, r)
+	i.mu.Unlock()
+	select {
+	case i.arrived <- struct{}{}:
+	default:
+	}
+}
+
+// take returns what has come since the last call.
+func (i *inbox) take() []result {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	out := i.results
+	i.results = nil
+	return out
+}
+
+// flight is one request under way. It belongs to the goroutine that serves the request; tries
+// report through the inbox.
 type flight struct {
 	f     *Forwarder
 	state *State
@@ -96,13 +127,14 @@
 	target time.Time
 	// used is the part of the target latency that the caller's earlier attempts took.
 	used time.Duration
-	// tries is the parent of all tries; it ends when the caller has gone.
-	tries  context.Context
-	cancel context.CancelFunc
-	parts  []*part
+	parts []*part
+	// whole counts the parts with a reply, ended those and the ones given up.
+	whole, ended int
 	// need is the number of parts without which there is no answer, at least 1.
-	need    int
-	results chan result
+	need  int
+	inbox inbox
+	// timer wakes the flight.
+	timer *time.Timer
 	// fingerprint identifies requests that are the same to a replica.
 	fingerprint quarantiner.Fingerprint
 	// proven is true once a reply has shown that the request is harmless.
@@ -112,8 +144,7 @@
 }
 
 func (fl *flight) start(services []string, need int) {
-	fl.tries, fl.cancel = context.WithDeadline(context.Background(), fl.deadline.Add(replyGrace))
-	fl.results = make(chan result, len(services)*(fl.route.MaxAttempts+maxRefusals+1))
+	fl.inbox.arrived = make(chan struct{}, 1)
 	fl.need = need
 	now := time.Now()
 	for _, s := range services {
@@ -133,20 +164,36 @@
 // finish lets the tries still under way run on for a while, so that their connections stay
 // whole, unless the caller has gone.
 func (fl *flight) finish() {
-	open := 0
+	if fl.timer != nil {
+		fl.timer.Stop()
+	}
+	var open []Exchange
 	for _, p := range fl.parts {
 		p.over.Store(true)
-		open += p.open
+		for _, t := range p.tries {
+			if t.end == "" {
+				open = append(open, t.exchange)
+			}
+		}
+	}
+	if len(open) == 0 {
+		return
 	}
-	if open == 0 || fl.ctx.Err() != nil {
-		fl.cancel()
+	if fl.ctx.Err() != nil {
+		cancelAll(open)
 		return
 	}
 	end := fl.r.Arrived.Add(max(lingerTargets*fl.route.Target, leastLinger))
 	if last := fl.deadline.Add(replyGrace); !fl.route.Idempotent || last.Before(end) {
 		end = last
 	}
-	time.AfterFunc(time.Until(end), fl.cancel)
+	time.AfterFunc(time.Until(end), func() { cancelAll(open) })
+}
+
+func cancelAll(open []Exchange) {
+	for _, x := range open {
+		x.Cancel()
+	}
 }
 
 // margin is the time before a limit at which the answer has to leave this VM: the caller's
@@ -167,18 +214,17 @@
 	fl.launchAll()
 	cutoff, last := fl.cutoff(), fl.deadline.Add(-fl.margin())
 	for {
-		whole, ended := fl.count()
 		now := time.Now()
 		switch {
-		case ended == len(shards) && whole >= need, whole >= need && !now.Before(cutoff):
+		case fl.ended == len(shards) && fl.whole >= need, fl.whole >= need && !now.Before(cutoff):
 			return fl.merge()
-		case len(shards)-ended+whole < need:
+		case len(shards)-fl.ended+fl.whole < need:
 			return fl.failed()
 		case !now.Before(last):
 			return fl.timeout()
 		}
 		wake := last
-		if whole >= need && cutoff.Before(wake) {
+		if fl.whole >= need && cutoff.Before(wake) {
 			wake = cutoff
 		}
 		if !fl.wait(fl.nextHedge(wake)) {
@@ -208,18 +254,6 @@
 	return Answer{Status: p.reply.Status, Fields: p.reply.Fields, Body: p.reply.Body}
 }
 
-func (fl *flight) count() (whole, ended int) {
-	for _, p := range fl.parts {
-		if p.ended {
-			ended++
-		}
-		if p.reply != nil {
-			whole++
-		}
-	}
-	return whole, ended
-}
-
 // nextHedge returns the time of the next hedge, or wake if that comes first.
 func (fl *flight) nextHedge(wake time.Time) time.Time {
 	for _, p := range fl.parts {
@@ -233,15 +267,17 @@
 // wait takes in the results that are there by the next one or by wake, and sends the hedges
 // that are due. It returns false when the caller has gone.
 func (fl *flight) wait(wake time.Time) bool {
-	timer := time.NewTimer(time.Until(wake))
-	defer timer.Stop()
+	if fl.timer == nil {
+		fl.timer = time.NewTimer(time.Until(wake))
+	} else {
+		fl.timer.Reset(time.Until(wake))
+	}
 	select {
-	case r := <-fl.results:
-		fl.take(r)
-		for len(fl.results) > 0 {
-			fl.take(<-fl.results)
+	case <-fl.inbox.arrived:
+		for _, r := range fl.inbox.take() {
+			fl.take(r)
 		}
-	case <-timer.C:
+	case <-fl.timer.C:
 	case <-fl.ctx.Done():
 		return false
 	}
@@ -276,7 +312,7 @@
 		return
 	}
 	p.tried = append(p.tried, c.ID)
-	t := &try{part: p, to: c, began: now, hedge: hedge}
+	t := &try{fl: fl, part: p, to: c, began: now, hedge: hedge}
 	if p.sent+p.open > 0 {
 		t.extra = 1
 	}
@@ -287,7 +323,9 @@
 	}
 	fl.f.metrics.sends[t.kind()].Inc()
 	fl.f.ranks.Begin(c.Key, now)
-	go fl.send(t)
+	t.exchange = fl.f.backend.Send(c, Message{
+		Request: fl.r, Deadline: fl.deadline, MaxConns: p.conns, BodyOnly: len(fl.route.Shards) > 0,
+	}, t)
 }
 
 // kind is one of the kinds of sends.
@@ -301,23 +339,24 @@
 	return sendFirst
 }
 
-// send runs in its own goroutine.
-func (fl *flight) send(t *try) {
-	m := Message{Request: fl.r, Deadline: fl.deadline, MaxConns: t.part.conns}
-	reply, err := fl.f.backend.Send(fl.tries, t.to, m, func() bool {
-		if t.part.over.Load() {
-			t.part.budget.Refund(t.extra, time.Now())
-			return false
-		}
-		t.sent = time.Now()
-		return true
-	})
+// Wanted implements Sending.
+func (t *try) Wanted() bool {
 	now := time.Now()
-	var load *ranker.Load
+	if t.part.over.Load() {
+		t.part.budget.Refund(t.extra, now)
+		return false
+	}
+	t.sent = now
+	return true
+}
+
+// Done implements Sending.
+func (t *try) Done(reply *Reply, err error) {
+	fl, now := t.fl, time.Now()
+	run := ranker.Run{Began: t.began, Outcome: fl.judge(reply, err)}
 	if reply != nil {
-		load = reply.Load
+		run.Load = reply.Load
 	}
-	run := ranker.Run{Began: t.began, Outcome: fl.judge(reply, err), Load: load}
 	if !t.sent.IsZero() {
 		run.Took = now.Sub(t.sent)
 	}
@@ -326,7 +365,7 @@
 	if errors.Is(err, ErrLost) && fl.ctx.Err() == nil {
 		go fl.f.checkLoss(t.to, fl.fingerprint, now)
 	}
-	fl.results <- result{try: t, reply: reply, err: err, at: now}
+	fl.inbox.add(result{try: t, reply: reply, err: err, at: now})
 }
 
 // judge says what the end of a try tells of its replica.
@@ -368,6 +407,8 @@
 	}
 	if r.err == nil && r.reply.Success() {
 		p.reply, p.ended = r.reply, true
+		fl.whole++
+		fl.ended++
 		fl.prove()
 		p.over.Store(true)
 		return
@@ -420,5 +461,6 @@
 
 func (fl *flight) giveUp(p *part, reason string) {
 	p.ended, p.reason = true, reason
+	fl.ended++
 	p.over.Store(true)
 }
--- a/services/forwarder/forwarder_test.go
+++ b/services/forwarder/forwarder_test.go
@@ -40,7 +40,21 @@
 	most     time.Duration
 }
 
-func (b *fakeBackend) Send(ctx context.Context, c *registrar.Candidate, m Message, wanted func() bool) (*Reply, error) {
+func (b *fakeBackend) Send(c *registrar.Candidate, m Message, s Sending) Exchange {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer cancel()
+		s.Done(b.exchange(ctx, c, m, s.Wanted))
+	}()
+	return canceler(cancel)
+}
+
+// canceler is an Exchange.
+type canceler context.CancelFunc
+
+func (c canceler) Cancel() { c() }
+
+func (b *fakeBackend) exchange(ctx context.Context, c *registrar.Candidate, m Message, wanted func() bool) (*Reply, error) {
 	b.mu.Lock()
 	if b.sends == nil {
 		b.sends, b.byShard = make(map[string]int), make(map[string]int)
@@ -350,7 +364,7 @@
 			r: request("/sweep/", time.Second), ctx: t.Context(), deadline: time.Now().Add(time.Second),
 		}
 		fl.start([]string{"shard-0", "shard-1"}, 1)
-		defer fl.cancel()
+		defer fl.finish()
 		now := time.Now()
 		p, other := fl.parts[0], fl.parts[1]
 		p.budget.Deposit(10, now) // the slack is taken for spent, the ratio is not
--- a/services/forwarder/types.go
+++ b/services/forwarder/types.go
@@ -80,6 +80,23 @@
 	Deadline time.Time
 	// MaxConns is the number of connections that this VM may hold to the replica.
 	MaxConns int
+	// BodyOnly is true when the header fields of the reply are not needed.
+	BodyOnly bool
+}
+
+// Sending is what a Backend reports to about one message.
+type Sending interface {
+	// Wanted is called when the request is about to be written; if it returns false, nothing is.
+	Wanted() bool
+	// Done takes in the reply, or an error that matches ErrUnsent, ErrBusy or ErrUnwanted
+	// (nothing was sent), ErrLost, ErrBadReply or ErrSilent. It is called once and must not block.
+	Done(r *Reply, err error)
+}
+
+// Exchange is one message on its way.
+type Exchange interface {
+	// Cancel ends it; Done is called soon after, if it was not called before.
+	Cancel()
 }
 
 // Reply is what a replica answered.
@@ -104,10 +121,8 @@
 
 // Backend sends to replicas.
 type Backend interface {
-	// Send sends m to a replica and waits for its reply until ctx ends. wanted is called when
-	// the request is about to be written; if it returns false, nothing is. Errors match
-	// ErrUnsent, ErrBusy (nothing was sent), ErrLost, ErrBadReply or ErrSilent.
-	Send(ctx context.Context, c *registrar.Candidate, m Message, wanted func() bool) (*Reply, error)
+	// Send sends m to a replica and reports to s. It does not wait.
+	Send(c *registrar.Candidate, m Message, s Sending) Exchange
 	// Warm opens a connection to a replica if there is none.
 	Warm(ctx context.Context, c *registrar.Candidate) error
 	// Reach returns nil if a replica takes connections.
--- a/services/launcher/bench_test.go
+++ b/services/launcher/bench_test.go
@@ -54,6 +54,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	var backend replica.Client
+	defer func() { _ = backend.Close() }()
 	f := forwarder.New(forwarder.Config{DataCentre: "dc-0", Log: log, Routine: log}, beliefs{state}, &backend)
 	b.ReportAllocs()
 	for b.Loop() {
