--- a/services/launcher/bench_test.go
+++ b/services/launcher/bench_test.go
@@ -1,11 +1,15 @@
 package launcher
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net/netip"
+	"os"
+	"os/exec"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -26,23 +30,72 @@
 func (b beliefs) State() *forwarder.State { return b.state }
 func (b beliefs) Fresh() time.Time        { return time.Now() }
 
-// BenchmarkGather measures one gathered request over 36 shards, its replicas included.
-func BenchmarkGather(b *testing.B) {
-	const shards = 36
-	view := &registrar.View{Services: make(map[string][]*registrar.Candidate)}
-	route := router.Route{Host: "h", Prefix: "/", Idempotent: true, Timeout: time.Second, Target: 80 * time.Millisecond, MaxAttempts: 2, Top: 50, MinShare: 0.95}
-	for i := range shards {
-		name := fmt.Sprint("shard-", i)
-		route.Shards = append(route.Shards, name)
+const (
+	benchShards = 36
+	// asReplicas is set in the process that stands for the replicas of a benchmark.
+	asReplicas = "EBONYLOCK_BENCH_REPLICAS"
+)
+
+// TestMain serves as the replicas of a benchmark when it is told to.
+func TestMain(m *testing.M) {
+	if os.Getenv(asReplicas) == "" {
+		os.Exit(m.Run())
+	}
+	for range benchShards {
 		r, err := site.NewReplica(func(g site.Got) site.Reply {
 			return site.Reply{Raw: site.OK(g, strings.Repeat("x", 1000), "Server-Load: 1,0,4")}
 		})
 		if err != nil {
-			b.Fatal(err)
+			panic(err)
 		}
-		defer r.Close()
+		fmt.Println(r.Addr())
+	}
+	_, _ = io.Copy(io.Discard, os.Stdin)
+}
+
+// startReplicas starts replicas in a process of their own and returns their addresses.
+func startReplicas(b *testing.B) []netip.AddrPort {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), asReplicas+"=1")
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		_ = in.Close()
+		_ = cmd.Wait()
+	})
+	lines := bufio.NewScanner(out)
+	var addrs []netip.AddrPort
+	for len(addrs) < benchShards && lines.Scan() {
+		addrs = append(addrs, netip.MustParseAddrPort(lines.Text()))
+	}
+	return addrs
+}
+
+// processorTime is that of this process.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkGather measures one gathered request over 36 shards. Its replicas are another process.
+func BenchmarkGather(b *testing.B) {
+	view := &registrar.View{Services: make(map[string][]*registrar.Candidate)}
+	route := router.Route{Host: "h", Prefix: "/", Idempotent: true, Timeout: time.Second, Target: 80 * time.Millisecond, MaxAttempts: 2, Top: 50, MinShare: 0.95}
+	for i, addr := range startReplicas(b) {
+		name := fmt.Sprint("shard-", i)
+		route.Shards = append(route.Shards, name)
 		for j := range 3 {
-			addr := r.Addr()
+			addr := addr
 			if j > 0 {
 				addr = netip.MustParseAddrPort("127.0.0.1:1")
 			}
@@ -54,10 +107,11 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	var backend replica.Client
-	defer func() { _ = backend.Close() }()
 	f := forwarder.New(forwarder.Config{DataCentre: "dc-0", Log: log, Routine: log}, beliefs{state}, &backend)
 	b.ReportAllocs()
+	before, n := processorTime(), 0
 	for b.Loop() {
+		n++
 		a := f.Serve(context.Background(), &forwarder.Request{
 			ID: "id", Method: "GET", Target: "/x", Path: "/x", Host: "h", Arrived: time.Now(), Patience: time.Second,
 		})
@@ -66,4 +120,5 @@
 		}
 		a.Record()
 	}
+	b.ReportMetric(float64((processorTime()-before).Microseconds())/float64(n), "cpu-us/op")
 }
