Silence counts against a replica also once the answer has left

Cause: the listener ends a request's context with its answer, and every try that ended later was taken for one whose caller had gone: a dark replica was only ever slow, never ejected, and whether it was down was not looked at. TestDarkReplicaIsLeft fails before (40 requests of a VM with two a second).

--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -141,6 +141,8 @@
 	proven bool
 	// anyRan is true once any try ended that may have run.
 	anyRan bool
+	// answered is true once the answer is known, after which ctx tells nothing of the caller.
+	answered atomic.Bool
 }
 
 func (fl *flight) start(services []string, need int) {
@@ -179,10 +181,11 @@
 	if len(open) == 0 {
 		return
 	}
-	if fl.ctx.Err() != nil {
+	if fl.callerLeft() {
 		cancelAll(open)
 		return
 	}
+	fl.answered.Store(true)
 	end := fl.r.Arrived.Add(max(lingerTargets*fl.route.Target, leastLinger))
 	if last := fl.deadline.Add(replyGrace); !fl.route.Idempotent || last.Before(end) {
 		end = last
@@ -190,6 +193,11 @@
 	time.AfterFunc(time.Until(end), func() { cancelAll(open) })
 }
 
+// callerLeft reports whether the caller has gone before its answer was known.
+func (fl *flight) callerLeft() bool {
+	return !fl.answered.Load() && fl.ctx.Err() != nil
+}
+
 func cancelAll(open []Exchange) {
 	for _, x := range open {
 		x.Cancel()
@@ -362,7 +370,7 @@
 	}
 	change := fl.f.ranks.End(t.to.Key, t.part.work, run, now)
 	fl.f.logChange(t, change, err)
-	if errors.Is(err, ErrLost) && fl.ctx.Err() == nil {
+	if errors.Is(err, ErrLost) && !fl.callerLeft() {
 		go fl.f.checkLoss(t.to, fl.fingerprint, now)
 	}
 	fl.inbox.add(result{try: t, reply: reply, err: err, at: now})
@@ -379,7 +387,7 @@
 		return ranker.Shed
 	case err == nil, errors.Is(err, ErrBadReply):
 		return ranker.Failed
-	case errors.Is(err, ErrBusy), errors.Is(err, ErrUnwanted), fl.ctx.Err() != nil:
+	case errors.Is(err, ErrBusy), errors.Is(err, ErrUnwanted), fl.callerLeft():
 		return ranker.Unjudged
 	case errors.Is(err, ErrSilent):
 		return ranker.Silent
--- a/services/forwarder/forwarder_test.go
+++ b/services/forwarder/forwarder_test.go
@@ -303,6 +303,28 @@
 	})
 }
 
+// TestDarkReplicaIsLeft is the pattern of a replica that goes dark as seen by one VM of a large
+// fleet, which has a request now and then, and whose listener ends a request's context with its
+// answer: the silence counts against the replica although the answer left without its part.
+func TestDarkReplicaIsLeft(t *testing.T) {
+	run(t, true, func(c *registrar.Candidate) behaviour {
+		if c.ID == "shard-3/0" {
+			return silent()
+		}
+		return served(7 * time.Millisecond)
+	}, func(is *is.I, f *Forwarder, b *fakeBackend) {
+		const n = 40
+		for range n {
+			ctx, cancel := context.WithCancel(context.Background())
+			a := f.Serve(ctx, request("/sweep/", time.Second))
+			cancel()
+			is.Equal(a.Status, http.StatusOK)
+			time.Sleep(500 * time.Millisecond)
+		}
+		is.True(b.sends["shard-3/0"] <= n/3)
+	})
+}
+
 // TestBackFromTheDead is the same shard once it is up again.
 func TestBackFromTheDead(t *testing.T) {
 	var mu sync.Mutex
