Beliefs about replicas last longer where requests are rare

Beliefs now last for the time of twelve requests of the service, 8 s at most, and a failure costs twice the target.

--- a/modules/ranker/ranker.go
+++ b/modules/ranker/ranker.go
@@ -22,13 +22,20 @@
 	// clip bounds one run's weight in the averages, as a multiple of the mean, so that a
 	// single pause does not condemn a replica while a series of slow runs does.
 	clip = 4
-	// recovery is the half-life of a belief that a replica is slower than its service.
-	recovery = 1500 * time.Millisecond
+	// recovery is the half-life of a belief that a replica is slower than its service, and
+	// failHalfLife that of the share of failures. Both are longer where runs are rare: the time
+	// of memory runs, up to longest.
+	recovery     = 1500 * time.Millisecond
+	failHalfLife = 2 * time.Second
+	memory       = 12
+	longest      = 8 * time.Second
 	// optimism is the share of the service's mean that this belief falls to, so that a replica
 	// that was left is tried again.
 	optimism = 0.8
-	// failHalfLife is the half-life of the share of failures.
-	failHalfLife = 2 * time.Second
+	// failGain is the weight of a new run in the share of failures.
+	failGain = 0.4
+	// failCost is the cost of a certain failure, as a multiple of the target latency.
+	failCost = 2
 	// loadHalfLife is the half-life of the load that a replica told.
 	loadHalfLife = 60 * time.Millisecond
 	// firstEject and lastEject are the time without work after a sign of death; it doubles
@@ -156,11 +163,16 @@
 // average is a moving mean and mean deviation, in seconds.
 type average struct {
 	mean, deviation float64
-	at              time.Time
-	runs            int
+	// gap is the moving mean of the time between two runs, in seconds.
+	gap  float64
+	at   time.Time
+	runs int
 }
 
 func (a *average) add(v float64, now time.Time) {
+	if a.runs > 0 {
+		a.gap += gain * (now.Sub(a.at).Seconds() - a.gap)
+	}
 	a.at = now
 	a.runs++
 	if a.runs == 1 {
@@ -177,6 +189,11 @@
 	a.mean += g * (v - a.mean)
 }
 
+// halfLife is that of a belief about work of which a is the average over all replicas.
+func (a *average) halfLife(least time.Duration) time.Duration {
+	return max(least, min(seconds(memory*a.gap), longest))
+}
+
 func (r *Ranker) with(id string, f func(*evidence)) {
 	s := &r.shards[xxhash.Sum64String(id)%shards]
 	s.mu.Lock()
@@ -238,6 +255,8 @@
 // End takes in the end of a run and returns what it changes.
 func (r *Ranker) End(id string, w Work, run Run, now time.Time) Change {
 	took := run.Took.Seconds()
+	prior := r.prior(w)
+	halfLife := prior.halfLife(failHalfLife)
 	var change Change
 	r.with(id, func(e *evidence) {
 		e.end(run.Began)
@@ -251,7 +270,7 @@
 				o = Unjudged
 			}
 		}
-		change = e.judge(o, now)
+		change = e.judge(o, halfLife, now)
 		if o == Served || (o == Unjudged && took > e.work(w).mean) {
 			e.work(w).add(took, now)
 		}
@@ -280,16 +299,16 @@
 	}
 }
 
-func (e *evidence) judge(o Outcome, now time.Time) Change {
+func (e *evidence) judge(o Outcome, halfLife time.Duration, now time.Time) Change {
 	switch o {
 	case Served:
-		return e.reply(0, now)
+		return e.reply(0, halfLife, now)
 	case Failed:
-		return e.reply(1, now)
+		return e.reply(1, halfLife, now)
 	case Shed:
-		return e.reply(shedShare, now)
+		return e.reply(shedShare, halfLife, now)
 	case Dead:
-		e.fail(1, now)
+		e.fail(1, halfLife, now)
 		if now.Before(e.ejectedUntil) {
 			return None
 		}
@@ -302,24 +321,25 @@
 }
 
 // reply takes in a reply that is a failure to the given share.
-func (e *evidence) reply(failure float64, now time.Time) Change {
+func (e *evidence) reply(failure float64, halfLife time.Duration, now time.Time) Change {
 	change := None
 	if e.deaths > 0 {
 		change = Return
 	}
 	e.deaths, e.replied = 0, now
-	e.fail(failure, now)
+	e.fail(failure, halfLife, now)
 	return change
 }
 
-func (e *evidence) fail(v float64, now time.Time) {
-	e.fails = e.failing(now)
-	e.fails += gain * (v - e.fails)
+// fail takes in a run that failed to the given share.
+func (e *evidence) fail(v float64, halfLife time.Duration, now time.Time) {
+	e.fails = e.failing(halfLife, now)
+	e.fails += failGain * (v - e.fails)
 	e.failedAt = now
 }
 
-func (e *evidence) failing(now time.Time) float64 {
-	return e.fails * decay(now.Sub(e.failedAt), failHalfLife)
+func (e *evidence) failing(halfLife time.Duration, now time.Time) float64 {
+	return e.fails * decay(now.Sub(e.failedAt), halfLife)
 }
 
 func decay(age, halfLife time.Duration) float64 {
@@ -345,7 +365,7 @@
 		mean, deviation = a.mean, a.deviation
 		out.Runs, out.Seen = a.runs, a.at
 		if hope := optimism * prior.mean; mean > hope {
-			back := decay(now.Sub(a.at), recovery)
+			back := decay(now.Sub(a.at), prior.halfLife(recovery))
 			mean = hope + (mean-hope)*back
 			deviation = prior.deviation + (deviation-prior.deviation)*back
 		}
@@ -355,7 +375,7 @@
 	waiting = max(waiting, float64(len(e.starts)-slots+1))
 	expected := mean * (1 + max(waiting, 0)/float64(max(slots, 1)))
 	expected += e.overdue(mean+overdueDeviations*deviation, now)
-	expected += e.failing(now) * w.Target.Seconds()
+	expected += failCost * e.failing(prior.halfLife(failHalfLife), now) * w.Target.Seconds()
 	out.Expected, out.Mean, out.Deviation = seconds(expected), seconds(mean), seconds(deviation)
 	out.Usual = seconds(prior.mean)
 	out.Running, out.Suspect = len(e.starts), e.deaths > 0
--- a/modules/ranker/ranker_test.go
+++ b/modules/ranker/ranker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -23,12 +24,13 @@
 // distance is what the forwarder adds for a replica of another data centre: a fifth of the target.
 const distance = 16 * time.Millisecond
 
-// player is one VM that sends a request each 10 ms to the replica with the least expectation,
-// out of three, of which a is in its own data centre.
+// player is one VM that sends a request each 10 ms, or as every says, to the replica with the
+// least expectation, out of three, of which a is in its own data centre.
 type player struct {
-	r    Ranker
-	now  time.Time
-	open []end
+	r     Ranker
+	now   time.Time
+	every time.Duration
+	open  []end
 }
 
 // play sends n requests and returns how many went to each replica. behave gives the end of a
@@ -36,7 +38,7 @@
 func (p *player) play(n int, behave func(id string, at time.Time) (time.Duration, Outcome)) map[string]int {
 	sent := make(map[string]int)
 	for range n {
-		p.now = p.now.Add(10 * time.Millisecond)
+		p.now = p.now.Add(max(p.every, 10*time.Millisecond))
 		kept := p.open[:0]
 		for _, e := range p.open {
 			if e.at.After(p.now) {
@@ -105,6 +107,28 @@
 	}
 }
 
+// TestGreyReplicaAndRareRequests is the pattern of many replicas that shed or fail part of their
+// requests, as seen by one VM of a large fleet, which has two requests a second: what it has
+// learnt lasts for more than one of them.
+func TestGreyReplicaAndRareRequests(t *testing.T) {
+	for _, o := range []Outcome{Shed, Failed} {
+		is := is.New(t)
+		p := player{now: start, every: 500 * time.Millisecond}
+		p.play(40, sound)
+		draw := rand.New(rand.NewPCG(1, 2))
+		during := p.play(100, func(id string, at time.Time) (time.Duration, Outcome) {
+			if id == "a" && draw.Float64() < 0.45 {
+				return time.Millisecond, o
+			}
+			return sound(id, at)
+		})
+		after := p.play(100, sound)
+		t.Logf("outcome %d, of 100 each: %d during, %d after", o, during["a"], after["a"])
+		is.True(during["a"] <= 33) // a third
+		is.True(after["a"] >= 50)
+	}
+}
+
 // TestPauseCostsLittle is the pattern of a replica that pauses for 100 ms: no more work while it
 // lasts, and its place back soon after.
 func TestPauseCostsLittle(t *testing.T) {
