At the last moment for another try, parts without a reply count as lost

Cause: with the budget low, only parts without which there is no answer draw from it, and only parts given up counted as lost. TestStragglersBesideADarkShard fails before.

--- a/services/forwarder/decider.go
+++ b/services/forwarder/decider.go
@@ -99,17 +99,21 @@
 	return e.Runs >= certain && now.Sub(e.Seen) < recent && float64(e.Mean) > hopeless*float64(left)
 }
 
-// pivotal reports whether there is no answer if one more part is lost.
-func (fl *flight) pivotal() bool {
-	lost := 0
-	for _, p := range fl.parts {
-		if p.ended && p.reply == nil {
-			lost++
-		}
+// pivotal reports whether there is no answer in time if one more part is lost. From the last
+// moment on at which a try could still be in time, parts without a reply count as lost.
+func (fl *flight) pivotal(expect ranker.Estimate, now time.Time) bool {
+	lost := fl.ended - fl.whole
+	if !now.Add(hedgeAgain).Before(fl.lastTry(expect)) {
+		lost = len(fl.parts) - fl.whole - 1
 	}
 	return lost+1+fl.need > len(fl.parts)
 }
 
+// lastTry is the last time at which a try of a usual replica can begin and be in time.
+func (fl *flight) lastTry(expect ranker.Estimate) time.Time {
+	return fl.cutoff().Add(-expect.Usual - hedgeReserve)
+}
+
 // decline returns the reason against another try, empty if there is none.
 func (fl *flight) decline(p *part, c *registrar.Candidate, expect ranker.Estimate, hedge bool, now time.Time) string {
 	extra := p.sent+p.open > 0
@@ -124,7 +128,7 @@
 		return reasonRefused
 	case expect.Ejected && (hedge || expect.Dead):
 		return reasonUnsound
-	case extra && p.budget.Fullness(now) < reserved && !fl.pivotal():
+	case extra && p.budget.Fullness(now) < reserved && !fl.pivotal(expect, now):
 		return reasonReserved
 	case extra && !p.budget.Withdraw(now):
 		return reasonBudget
@@ -141,7 +145,7 @@
 	spent := 1 - p.budget.Fullness(now)
 	stretch := hedgeEager + (hedgeThrifty-hedgeEager)*spent
 	delay := expect.Mean + time.Duration(stretch*float64(expect.Deviation))
-	latest := fl.cutoff().Sub(now) - expect.Usual - hedgeReserve
+	latest := fl.lastTry(expect).Sub(now)
 	if latest < delay && latest > expect.Mean {
 		delay = latest
 	}
--- a/services/forwarder/forwarder_test.go
+++ b/services/forwarder/forwarder_test.go
@@ -384,6 +384,7 @@
 		fl := &flight{
 			f: f, state: f.beliefs.State(), route: f.beliefs.State().Table.Match("h", "/sweep/").Route,
 			r: request("/sweep/", time.Second), ctx: t.Context(), deadline: time.Now().Add(time.Second),
+			target: time.Now().Add(target),
 		}
 		fl.start([]string{"shard-0", "shard-1"}, 1)
 		defer fl.finish()
@@ -398,6 +399,38 @@
 	})
 }
 
+// TestStragglersBesideADarkShard is the pattern of a shard that is all dark while a replica of
+// another pauses, with the budget low: an answer may lack one part, so the paused one's is asked
+// for again as long as it can be in time.
+func TestStragglersBesideADarkShard(t *testing.T) {
+	pause := false
+	run(t, false, func(c *registrar.Candidate) behaviour {
+		switch {
+		case c.Service == "shard-3" && pause:
+			return silent()
+		case c.ID == "shard-4/0" && pause:
+			return served(200 * time.Millisecond)
+		}
+		return served(7 * time.Millisecond)
+	}, func(is *is.I, f *Forwarder, _ *fakeBackend) {
+		for range 20 {
+			sweep(f)
+			time.Sleep(100 * time.Millisecond)
+		}
+		for i := range shards {
+			b := f.budget(fmt.Sprintf("shard-%d", i), 7, time.Now())
+			for b.Fullness(time.Now()) >= reserved/2 {
+				b.Spend(1, time.Now())
+			}
+		}
+		pause = true
+		a, took := sweep(f)
+		is.Equal(a.Status, http.StatusOK)
+		is.Equal(a.Missing, 1)
+		is.True(took < target)
+	})
+}
+
 // TestSlowShardIsLeftAndTriedAgain is the pattern of a shard whose replicas are all slower than
 // the target: it is left out without work, and asked again now and then.
 func TestSlowShardIsLeftAndTriedAgain(t *testing.T) {
