--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -126,7 +126,7 @@
 	// target is the time at which the caller should have the answer.
 	target time.Time
 	// used is the part of the target latency that the caller's earlier attempts took.
-	used time.Duration
+	used  time.Duration
 	parts []*part
 	// whole counts the parts with a reply, ended those and the ones given up.
 	whole, ended int
