--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 KNOWN_RED := $(shell grep -v '^\#' KNOWN-RED.txt | cut -d'|' -f1 | tr -d ' ' | grep . | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: all build run demo test unit lint fmt vet bench slopes fuzz clean
+.PHONY: all build run demo test unit lint fmt vet bench slopes fuzz soak clean
 
 all: build
 
@@ -29,8 +29,9 @@
 # The whole path comes last and alone, as its processes share the machine.
 unit:
 	@grep -v '^#' KNOWN-RED.txt | sed 's/^/known red, passed over: /' || true
-	$(GO) test -race -count=1 -timeout 20m $(SKIP) $$($(GO) list ./... | grep -v /tests/path)
+	$(GO) test -race -count=1 -timeout 20m $(SKIP) $$($(GO) list ./... | grep -v -e /tests/path -e /tests/soak)
 	$(GO) test -race -count=1 -timeout 20m $(SKIP) ./tests/path
+	$(GO) test -race -count=1 -timeout 20m $(SKIP) ./tests/soak
 
 lint:
 	@unformatted=$$($(GO) tool gofumpt -l cmd modules platform routers services tests tools); \
@@ -51,6 +52,12 @@
 slopes:
 	$(GO) run ./tools/slopes
 
+# Real processes under random faults from outside; prints each broken promise with its seed.
+SEED ?= 1
+SEEDS ?= 50
+soak:
+	$(GO) test -count=1 -timeout 60m -run TestSoak ./tests/soak -first $(SEED) -seeds $(SEEDS) -for 8s -strict
+
 FUZZTIME ?= 20s
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./modules/prober
--- a/tests/fleet/site.go
+++ b/tests/fleet/site.go
@@ -35,10 +35,24 @@
 
 // SiteVM is one VM's process.
 type SiteVM struct {
-	ID   string
-	host netip.Addr
-	cmd  *exec.Cmd
-	done chan error
+	ID, DataCentre string
+	// Store is where it finds the store.
+	Store netip.AddrPort
+	host  netip.Addr
+	cmd   *exec.Cmd
+	done  chan error
+	// started is true once the VM has had a process.
+	started bool
+}
+
+// NewSiteVM returns the VM with the given number, from 0, on an address of its own.
+func NewSiteVM(n int, dataCentre string, store netip.AddrPort) *SiteVM {
+	return &SiteVM{ID: fmt.Sprintf("vm-%d", n+1), DataCentre: dataCentre, Store: store, host: siteHost(n)}
+}
+
+// Callers is the address for callers.
+func (vm *SiteVM) Callers() string {
+	return netip.AddrPortFrom(vm.host, portRequests).String()
 }
 
 // siteHost returns a loopback address that no VM of another process has.
@@ -64,9 +78,9 @@
 		return nil, err
 	}
 	for i := range vms {
-		vm := &SiteVM{ID: fmt.Sprintf("vm-%d", i+1), host: siteHost(i)}
+		vm := NewSiteVM(i, "dc-1", store.Addr())
 		f.VMs = append(f.VMs, vm)
-		if err := f.start(vm, bin, log); err != nil {
+		if err := vm.Start(bin, dir, log); err != nil {
 			f.Kill()
 			return nil, err
 		}
@@ -96,15 +110,17 @@
 	return nil
 }
 
-func (f *SiteFleet) start(vm *SiteVM, bin string, log io.Writer) error {
-	file := filepath.Join(f.dir, vm.ID+".jsonc")
+// Start starts the VM's process with the binaries of bin and its settings in dir.
+func (vm *SiteVM) Start(bin, dir string, log io.Writer) error {
+	file := filepath.Join(dir, vm.ID+".jsonc")
 	at := func(port uint16) string { return netip.AddrPortFrom(vm.host, port).String() }
-	text := fmt.Appendf(nil, `{"vm": {"id": %q, "data-centre": "dc-1"},
+	text := fmt.Appendf(nil, `{"vm": {"id": %q, "data-centre": %q},
 		"requests": {"listen": %q, "readiness": %q, "metrics": %q},
 		"peers": {"gossip": %q, "link": %q, "keys": [%q], "seeds": [%q]},
-		"store": %q, "first-start": true}`,
-		vm.ID, at(portRequests), at(portReadiness), at(portMetrics), at(portPeers), at(portPeers), key,
-		netip.AddrPortFrom(siteHost(0), portPeers), f.Store.Addr())
+		"bounds": {"retry-ratio": 0.2, "retry-slack": 54, "retry-window": "10s", "grace": "6s"},
+		"store": %q, "first-start": %t}`,
+		vm.ID, vm.DataCentre, at(portRequests), at(portReadiness), at(portMetrics), at(portPeers), at(portPeers), key,
+		netip.AddrPortFrom(siteHost(0), portPeers), vm.Store, !vm.started)
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		return err
 	}
@@ -113,11 +129,39 @@
 	if err := vm.cmd.Start(); err != nil {
 		return err
 	}
+	vm.started = true
 	vm.done = make(chan error, 1)
 	go func() { vm.done <- vm.cmd.Wait() }()
 	return nil
 }
 
+// Signal sends a signal to the VM's process.
+func (vm *SiteVM) Signal(s os.Signal) error {
+	return vm.cmd.Process.Signal(s)
+}
+
+// Wait waits until the process has ended, or for the time given; it returns false after that.
+func (vm *SiteVM) Wait(timeout time.Duration) bool {
+	select {
+	case err := <-vm.done:
+		vm.done <- err
+		return true
+	case <-time.After(timeout):
+		return false
+	}
+}
+
+// Ready asks the VM as the balancer does whether it takes callers.
+func (vm *SiteVM) Ready(timeout time.Duration) bool {
+	c := http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	w, err := c.Get("http://" + netip.AddrPortFrom(vm.host, portReadiness).String() + "/-/readiness")
+	if err != nil {
+		return false
+	}
+	_ = w.Body.Close()
+	return w.StatusCode == http.StatusOK
+}
+
 func (f *SiteFleet) waitReady() error {
 	end := time.Now().Add(startTimeout)
 	for _, vm := range f.VMs {
@@ -136,7 +180,7 @@
 
 // Ask sends a request to the VM and returns its answer with the body.
 func (vm *SiteVM) Ask(id, path string) (*http.Response, []byte, error) {
-	r, err := http.NewRequest(http.MethodGet, "http://"+netip.AddrPortFrom(vm.host, portRequests).String()+path, http.NoBody)
+	r, err := http.NewRequest(http.MethodGet, "http://"+vm.Callers()+path, http.NoBody)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -154,7 +198,7 @@
 
 // Stop stops the VM gracefully and returns how its process ended.
 func (vm *SiteVM) Stop() error {
-	if err := vm.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+	if err := vm.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
 	select {
@@ -166,13 +210,18 @@
 	}
 }
 
+// Kill ends the process at once and waits for its end.
+func (vm *SiteVM) Kill() {
+	if vm.cmd != nil && vm.cmd.Process != nil {
+		_ = vm.cmd.Process.Kill()
+		vm.done <- <-vm.done
+	}
+}
+
 // Kill ends everything.
 func (f *SiteFleet) Kill() {
 	for _, vm := range f.VMs {
-		if vm.cmd != nil && vm.cmd.Process != nil {
-			_ = vm.cmd.Process.Kill()
-			vm.done <- <-vm.done
-		}
+		vm.Kill()
 	}
 	for _, r := range f.replicas {
 		r.Close()
--- /dev/null
+++ b/tests/soak/soak_test.go
@@ -0,0 +1,51 @@
+package soak
+
+import (
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+var (
+	first  = flag.Uint64("first", 1, "first seed")
+	seeds  = flag.Uint64("seeds", 1, "number of seeds")
+	length = flag.Duration("for", 6*time.Second, "time for which faults are made, for each seed")
+	vms    = flag.Int("vms", 4, "number of VMs")
+	strict = flag.Bool("strict", false, "check the times that are promised as well")
+)
+
+// regressions are seeds that have failed, with the cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// TestSoak is one short soak; `make soak` plays more and longer ones.
+func TestSoak(t *testing.T) {
+	bin := t.TempDir()
+	build := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "../../cmd/ebonylockd")
+	build.Stdout, build.Stderr = os.Stdout, os.Stderr
+	if err := build.Run(); err != nil {
+		t.Fatal(err)
+	}
+	play := func(seed uint64) {
+		r, err := Run(Config{Bin: bin, Seed: seed, For: *length, VMs: *vms, Callers: 3 * *vms, Strict: *strict, Log: t.Output()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("seed %d: %d served, %d refused, %d failed, %d cut; %d faults", seed, r.Served, r.Refused, r.Failed, r.Cut, len(r.Faults))
+		for _, b := range r.Broken {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+	}
+	for i := range *seeds {
+		play(*first + i)
+	}
+	for _, r := range regressions {
+		t.Log(r.cause)
+		play(r.seed)
+	}
+}
