A racing confirmation is a conflict, not a store that is behind

Cause: the loser read the store, then heard of the winner's revision from another VM, and only then compared the two: the value read looked older than what is in force. What was in force is now noted before the read. Ruled out: the test's deadline (2.16 s of 5 s). Case 'another change is heard of during the read' of TestConfirmFaults fails before.

--- a/services/configurer/configurer.go
+++ b/services/configurer/configurer.go
@@ -227,6 +227,8 @@
 // confirmOnce makes one round of read and write. It returns false without an error when
 // the round settled nothing. A repeated write is harmless: the store takes only one.
 func (c *Configurer) confirmOnce(p planner.Plan, raw []byte, written *bool) (bool, error) {
+	// A revision that is heard of during the read may be newer than the value read.
+	mine, _ := c.Current()
 	c.calls.WithLabelValues("get").Inc()
 	v, err := c.store.Get(Key, time.Now().Add(callTimeout))
 	if err != nil && !errors.Is(err, keeper.ErrNotFound) {
@@ -238,7 +240,7 @@
 			return false, err
 		}
 	}
-	settled, err := c.compare(p, now)
+	settled, err := compare(p, now, mine)
 	if settled || err != nil {
 		if settled {
 			return true, c.take(v)
@@ -255,14 +257,14 @@
 	return true, c.take(keeper.Value{Data: raw, Version: version})
 }
 
-// compare returns true when the store's configuration shows that the plan was confirmed.
-func (c *Configurer) compare(p planner.Plan, now planner.Config) (bool, error) {
+// compare returns true when the store's configuration shows that the plan was confirmed. mine
+// was in force before the store was read.
+func compare(p planner.Plan, now, mine planner.Config) (bool, error) {
 	for _, id := range now.Plans {
 		if id == p.ID {
 			return true, nil
 		}
 	}
-	mine, _ := c.Current()
 	switch {
 	case now.Revision < mine.Revision:
 		return false, oops.Wrapf(ErrStoreBehind, "store has revision %d, in force is %d", now.Revision, mine.Revision)
--- a/services/configurer/configurer_test.go
+++ b/services/configurer/configurer_test.go
@@ -18,11 +18,13 @@
 	v      keeper.Value
 	writes int
 	// down fails reads and writes; lose makes that many writes lose their reply; refuse
-	// makes that many writes fail before they take effect; race runs before a write.
-	down   bool
-	lose   int
-	refuse int
-	race   func(s *store)
+	// makes that many writes fail before they take effect; race runs before a write, overtake
+	// after a read.
+	down     bool
+	lose     int
+	refuse   int
+	race     func(s *store)
+	overtake func(s *store)
 }
 
 func (s *store) Get(string, time.Time) (keeper.Value, error) {
@@ -32,7 +34,13 @@
 	case s.v.Version == 0:
 		return keeper.Value{}, keeper.ErrNotFound
 	}
-	return s.v, nil
+	v := s.v
+	if s.overtake != nil {
+		overtake := s.overtake
+		s.overtake = nil
+		overtake(s)
+	}
+	return v, nil
 }
 
 func (s *store) Watch(key string, _ uint64, _ time.Duration, deadline time.Time) (keeper.Value, error) {
@@ -105,6 +113,15 @@
 		{"changed between read and write", func(t *testing.T, s *store, _ *Configurer, _ planner.Plan) {
 			s.race = func(s *store) { s.put(t, planner.Config{Revision: 1, ChangedBy: "other"}) }
 		}, planner.ErrConflict, 0, 0},
+		{"another change is heard of during the read", func(t *testing.T, s *store, c *Configurer, _ planner.Plan) {
+			s.put(t, planner.Config{})
+			s.overtake = func(s *store) {
+				s.put(t, planner.Config{Revision: 1, ChangedBy: "other"})
+				if err := c.Adopt(s.v.Data); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}, planner.ErrConflict, 0, 1},
 		{"store down", func(_ *testing.T, s *store, _ *Configurer, _ planner.Plan) { s.down = true }, ErrStoreDown, 0, 0},
 		{"store down from the write on", func(_ *testing.T, s *store, _ *Configurer, _ planner.Plan) {
 			s.race = func(s *store) { s.down = true }
