--- a/services/forwarder/forwarder_test.go
+++ b/services/forwarder/forwarder_test.go
@@ -40,7 +40,21 @@
 	most     time.Duration
 }
 
-func (b *fakeBackend) Send(ctx context.Context, c *registrar.Candidate, m Message, wanted func() bool) (*Reply, error) {
+func (b *fakeBackend) Send(c *registrar.Candidate, m Message, s Sending) Exchange {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer cancel()
+		s.Done(b.exchange(ctx, c, m, s.Wanted))
+	}()
+	return canceler(cancel)
+}
+
+// canceler is an Exchange.
+type canceler context.CancelFunc
+
+func (c canceler) Cancel() { c() }
+
+func (b *fakeBackend) exchange(ctx context.Context, c *registrar.Candidate, m Message, wanted func() bool) (*Reply, error) {
 	b.mu.Lock()
 	if b.sends == nil {
 		b.sends, b.byShard = make(map[string]int), make(map[string]int)
@@ -289,6 +303,28 @@
 	})
 }
 
+// TestDarkReplicaIsLeft is the pattern of a replica that goes dark as seen by one VM of a large
+// fleet, which has a request now and then, and whose listener ends a request's context with its
+// answer: the silence counts against the replica although the answer left without its part.
+func TestDarkReplicaIsLeft(t *testing.T) {
+	run(t, true, func(c *registrar.Candidate) behaviour {
+		if c.ID == "shard-3/0" {
+			return silent()
+		}
+		return served(7 * time.Millisecond)
+	}, func(is *is.I, f *Forwarder, b *fakeBackend) {
+		const n = 40
+		for range n {
+			ctx, cancel := context.WithCancel(context.Background())
+			a := f.Serve(ctx, request("/sweep/", time.Second))
+			cancel()
+			is.Equal(a.Status, http.StatusOK)
+			time.Sleep(500 * time.Millisecond)
+		}
+		is.True(b.sends["shard-3/0"] <= n/3)
+	})
+}
+
 // TestBackFromTheDead is the same shard once it is up again.
 func TestBackFromTheDead(t *testing.T) {
 	var mu sync.Mutex
@@ -348,9 +384,10 @@
 		fl := &flight{
 			f: f, state: f.beliefs.State(), route: f.beliefs.State().Table.Match("h", "/sweep/").Route,
 			r: request("/sweep/", time.Second), ctx: t.Context(), deadline: time.Now().Add(time.Second),
+			target: time.Now().Add(target),
 		}
 		fl.start([]string{"shard-0", "shard-1"}, 1)
-		defer fl.cancel()
+		defer fl.finish()
 		now := time.Now()
 		p, other := fl.parts[0], fl.parts[1]
 		p.budget.Deposit(10, now) // the slack is taken for spent, the ratio is not
@@ -362,6 +399,38 @@
 	})
 }
 
+// TestStragglersBesideADarkShard is the pattern of a shard that is all dark while a replica of
+// another pauses, with the budget low: an answer may lack one part, so the paused one's is asked
+// for again as long as it can be in time.
+func TestStragglersBesideADarkShard(t *testing.T) {
+	pause := false
+	run(t, false, func(c *registrar.Candidate) behaviour {
+		switch {
+		case c.Service == "shard-3" && pause:
+			return silent()
+		case c.ID == "shard-4/0" && pause:
+			return served(200 * time.Millisecond)
+		}
+		return served(7 * time.Millisecond)
+	}, func(is *is.I, f *Forwarder, _ *fakeBackend) {
+		for range 20 {
+			sweep(f)
+			time.Sleep(100 * time.Millisecond)
+		}
+		for i := range shards {
+			b := f.budget(fmt.Sprintf("shard-%d", i), 7, time.Now())
+			for b.Fullness(time.Now()) >= reserved/2 {
+				b.Spend(1, time.Now())
+			}
+		}
+		pause = true
+		a, took := sweep(f)
+		is.Equal(a.Status, http.StatusOK)
+		is.Equal(a.Missing, 1)
+		is.True(took < target)
+	})
+}
+
 // TestSlowShardIsLeftAndTriedAgain is the pattern of a shard whose replicas are all slower than
 // the target: it is left out without work, and asked again now and then.
 func TestSlowShardIsLeftAndTriedAgain(t *testing.T) {
