--- a/services/forwarder/chronicle.go
+++ b/services/forwarder/chronicle.go
@@ -72,7 +72,10 @@
 	for _, p := range fl.parts {
 		if p.reply == nil {
 			reason := p.reason
-			if !p.ended {
+			switch {
+			case p.parked:
+				reason = reasonReserved
+			case !p.ended:
 				reason = reasonNoReply
 			}
 			fl.f.metrics.missing.WithLabelValues(reason).Inc()
--- a/services/forwarder/decider.go
+++ b/services/forwarder/decider.go
@@ -99,10 +99,14 @@
 	return e.Runs >= certain && now.Sub(e.Seen) < recent && float64(e.Mean) > hopeless*float64(left)
 }
 
-// pivotal reports whether there is no answer in time if one more part is lost. From the last
-// moment on at which a try could still be in time, parts without a reply count as lost.
-func (fl *flight) pivotal(expect ranker.Estimate, now time.Time) bool {
-	lost := fl.ended - fl.whole
+// pivotal reports whether there is no answer in time if p is lost, with those that are given up
+// or parked. From the last moment on at which a try could still be in time, all parts without a
+// reply count as lost.
+func (fl *flight) pivotal(p *part, expect ranker.Estimate, now time.Time) bool {
+	lost := fl.ended - fl.whole + fl.parked
+	if p.parked {
+		lost--
+	}
 	if !now.Add(hedgeAgain).Before(fl.lastTry(expect)) {
 		lost = len(fl.parts) - fl.whole - 1
 	}
@@ -128,7 +132,7 @@
 		return reasonRefused
 	case expect.Ejected && (hedge || expect.Dead):
 		return reasonUnsound
-	case extra && p.budget.Fullness(now) < reserved && !fl.pivotal(expect, now):
+	case extra && p.budget.Fullness(now) < reserved && !fl.pivotal(p, expect, now):
 		return reasonReserved
 	case extra && !p.budget.Withdraw(now):
 		return reasonBudget
@@ -144,9 +148,11 @@
 	}
 	spent := 1 - p.budget.Fullness(now)
 	stretch := hedgeEager + (hedgeThrifty-hedgeEager)*spent
-	delay := expect.Mean + time.Duration(stretch*float64(expect.Deviation))
+	// A replica that is slower than its service gets no more time than the others.
+	mean := min(expect.Mean, expect.Usual)
+	delay := mean + time.Duration(stretch*float64(min(expect.Deviation, expect.Usual)))
 	latest := fl.lastTry(expect).Sub(now)
-	if latest < delay && latest > expect.Mean {
+	if latest < delay && latest > mean {
 		delay = latest
 	}
 	return max(delay, hedgeFloor)
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -49,9 +49,11 @@
 	refused int
 	// open counts the tries under way.
 	open int
-	// hedgeAt is the time for another try beside the first; zero for none.
+	// hedgeAt is the time for another try, beside the first or of a parked part; zero for none.
 	hedgeAt time.Time
-	reply   *Reply
+	// parked is true while no try is under way, as the budget is kept for other parts.
+	parked bool
+	reply  *Reply
 	// failure is the last reply of a replica that is none to merge.
 	failure *Reply
 	// ended is true once the part has a reply or is given up.
@@ -128,8 +130,9 @@
 	// used is the part of the target latency that the caller's earlier attempts took.
 	used  time.Duration
 	parts []*part
-	// whole counts the parts with a reply, ended those and the ones given up.
-	whole, ended int
+	// whole counts the parts with a reply, ended those and the ones given up, parked those that
+	// wait for the budget.
+	whole, ended, parked int
 	// need is the number of parts without which there is no answer, at least 1.
 	need  int
 	inbox inbox
@@ -224,7 +227,7 @@
 	for {
 		now := time.Now()
 		switch {
-		case fl.ended == len(shards) && fl.whole >= need, fl.whole >= need && !now.Before(cutoff):
+		case fl.whole >= need && (fl.ended+fl.parked == len(shards) || !now.Before(cutoff)):
 			return fl.merge()
 		case len(shards)-fl.ended+fl.whole < need:
 			return fl.failed()
@@ -311,14 +314,16 @@
 func (fl *flight) launchTo(p *part, c *registrar.Candidate, expect ranker.Estimate, hedge bool, now time.Time) {
 	if reason := fl.decline(p, c, expect, hedge, now); reason != "" {
 		fl.f.metrics.declined.WithLabelValues(reason).Inc()
-		switch {
+		switch again := now.Add(hedgeAgain); {
+		case reason == reasonReserved && again.Before(fl.cutoff()):
+			p.hedgeAt = again
+			fl.park(p, p.open == 0)
 		case p.open == 0:
 			fl.giveUp(p, reason)
-		case hedge && reason == reasonReserved && now.Add(hedgeAgain).Before(fl.cutoff()):
-			p.hedgeAt = now.Add(hedgeAgain)
 		}
 		return
 	}
+	fl.park(p, false)
 	p.tried = append(p.tried, c.ID)
 	t := &try{fl: fl, part: p, to: c, began: now, hedge: hedge}
 	if p.sent+p.open > 0 {
@@ -336,6 +341,17 @@
 	}, t)
 }
 
+// park notes whether a part waits for the budget.
+func (fl *flight) park(p *part, parked bool) {
+	switch {
+	case parked && !p.parked:
+		fl.parked++
+	case !parked && p.parked:
+		fl.parked--
+	}
+	p.parked = parked
+}
+
 // kind is one of the kinds of sends.
 func (t *try) kind() int {
 	switch {
@@ -425,6 +441,10 @@
 		p.failure = r.reply
 	}
 	if p.open > 0 {
+		if r.try.hedge && notRun {
+			// The first try is still late.
+			p.hedgeAt = r.at
+		}
 		return
 	}
 	if !notRun && !fl.route.Idempotent {
@@ -470,5 +490,6 @@
 func (fl *flight) giveUp(p *part, reason string) {
 	p.ended, p.reason = true, reason
 	fl.ended++
+	fl.park(p, false)
 	p.over.Store(true)
 }
--- a/services/forwarder/forwarder_test.go
+++ b/services/forwarder/forwarder_test.go
@@ -399,6 +399,76 @@
 	})
 }
 
+// spend sends some requests and spends the budget of all shards but for a little.
+func spend(f *Forwarder) {
+	for range 20 {
+		sweep(f)
+		time.Sleep(100 * time.Millisecond)
+	}
+	for i := range shards {
+		b := f.budget(fmt.Sprintf("shard-%d", i), 7, time.Now())
+		for b.Fullness(time.Now()) >= reserved/2 {
+			b.Spend(1, time.Now())
+		}
+	}
+}
+
+// TestShedPartWaitsForTheBudget is the pattern of replicas of many shards that shed part of their
+// requests, with the budget low: the part is left out if the others come, and asked for again if
+// one of them does not.
+func TestShedPartWaitsForTheBudget(t *testing.T) {
+	for _, dark := range []bool{false, true} {
+		grey := false
+		run(t, false, func(c *registrar.Candidate) behaviour {
+			switch {
+			case grey && c.ID == "shard-3/0":
+				return shed()
+			case grey && dark && c.Service == "shard-4":
+				return silent()
+			}
+			return served(7 * time.Millisecond)
+		}, func(is *is.I, f *Forwarder, b *fakeBackend) {
+			spend(f)
+			grey = true
+			before := b.byShard["shard-3"]
+			a, took := sweep(f)
+			is.Equal(a.Status, http.StatusOK)
+			is.Equal(a.Missing, 1)
+			is.True(took < target)
+			if !dark {
+				is.True(took < 20*time.Millisecond)
+				is.Equal(b.byShard["shard-3"], before+1)
+			}
+		})
+	}
+}
+
+// TestHedgeThatIsShed is the pattern of a replica that pauses while a sibling sheds: the third one
+// is asked.
+func TestHedgeThatIsShed(t *testing.T) {
+	grey := false
+	run(t, true, func(c *registrar.Candidate) behaviour {
+		switch {
+		case grey && c.ID == "shard-3/0":
+			return served(300 * time.Millisecond)
+		case grey && c.ID == "shard-3/1":
+			return shed()
+		case c.ID == "shard-3/2":
+			return served(9 * time.Millisecond)
+		}
+		return served(7 * time.Millisecond)
+	}, func(is *is.I, f *Forwarder, _ *fakeBackend) {
+		for range 20 {
+			sweep(f)
+			time.Sleep(100 * time.Millisecond)
+		}
+		grey = true
+		a, took := sweep(f)
+		is.Equal(a.Missing, 0)
+		is.True(took < target)
+	})
+}
+
 // TestStragglersBesideADarkShard is the pattern of a shard that is all dark while a replica of
 // another pauses, with the budget low: an answer may lack one part, so the paused one's is asked
 // for again as long as it can be in time.
@@ -413,16 +483,7 @@
 		}
 		return served(7 * time.Millisecond)
 	}, func(is *is.I, f *Forwarder, _ *fakeBackend) {
-		for range 20 {
-			sweep(f)
-			time.Sleep(100 * time.Millisecond)
-		}
-		for i := range shards {
-			b := f.budget(fmt.Sprintf("shard-%d", i), 7, time.Now())
-			for b.Fullness(time.Now()) >= reserved/2 {
-				b.Spend(1, time.Now())
-			}
-		}
+		spend(f)
 		pause = true
 		a, took := sweep(f)
 		is.Equal(a.Status, http.StatusOK)
