VMs share what they see of replicas

All VMs together see a replica 32 times a second.

With the questions that VMs ask the readers anyway (twice a second on each lane) go tallies of runs; with the answers come verdicts on replicas that fail a quarter of their runs or take 2.5 times as long as their service. No further message, no further call to the store. One look in 32 leaves the verdict aside, so that it ends. Weighed: telling every VM (66 messages for each), gossip (its datagrams are full), a hub of its own (more wake-ups).

--- a/modules/ranker/ranker.go
+++ b/modules/ranker/ranker.go
@@ -4,10 +4,13 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/ebonylock/ebonylock/modules/reporter"
 )
 
 const (
@@ -44,6 +47,8 @@
 	lastEject  = 1600 * time.Millisecond
 	// maxDoublings bounds the growth of that time.
 	maxDoublings = 8
+	// doubt is the number of looks at a replica of which one leaves the verdict of other VMs aside.
+	doubt = 32
 	// shedShare is the share of a failure that a refusal counts for.
 	shedShare = 0.5
 	// deadAfter is the number of signs after which a replica counts as dead.
@@ -129,8 +134,18 @@
 	return [...]string{"none", "ejected", "back"}[c]
 }
 
+// Shared is what other VMs have seen.
+type Shared interface {
+	// Run takes in a run of this VM; ratio is its time as a multiple of the service's mean.
+	Run(replica uint64, served bool, ratio float64, now time.Time)
+	// Of returns the verdict of all VMs on a replica.
+	Of(replica uint64, now time.Time) reporter.Verdict
+}
+
 // Ranker holds the evidence. The zero value is ready for use.
 type Ranker struct {
+	// Shared is nil where nothing is shared. It is set before use.
+	Shared Shared
 	shards [shards]shard
 	// priors are the averages over all replicas of a service.
 	priorMu sync.Mutex
@@ -278,6 +293,9 @@
 	if run.Outcome == Served {
 		r.learn(w, took, now)
 	}
+	if r.Shared != nil && run.Outcome != Unjudged && prior.mean > 0 {
+		r.Shared.Run(reporter.Hash(id), run.Outcome == Served, took/prior.mean, now)
+	}
 	return change
 }
 
@@ -353,12 +371,17 @@
 // Estimate returns what to expect of a replica with slots for work w.
 func (r *Ranker) Estimate(id string, slots int, w Work, now time.Time) Estimate {
 	prior := r.prior(w)
+	verdict := reporter.Verdict{Ratio: 1}
+	// Now and then the verdict is left aside, so that it ends when the replica is well.
+	if r.Shared != nil && rand.IntN(doubt) > 0 {
+		verdict = r.Shared.Of(reporter.Hash(id), now)
+	}
 	var out Estimate
-	r.with(id, func(e *evidence) { out = e.estimate(prior, slots, w, now) })
+	r.with(id, func(e *evidence) { out = e.estimate(prior, verdict, slots, w, now) })
 	return out
 }
 
-func (e *evidence) estimate(prior average, slots int, w Work, now time.Time) Estimate {
+func (e *evidence) estimate(prior average, verdict reporter.Verdict, slots int, w Work, now time.Time) Estimate {
 	mean, deviation := prior.mean, prior.deviation
 	var out Estimate
 	if a := e.works[w]; a != nil && a.runs > 0 {
@@ -370,12 +393,15 @@
 			deviation = prior.deviation + (deviation-prior.deviation)*back
 		}
 	}
+	if verdict.Ratio > 1 {
+		mean = max(mean, verdict.Ratio*prior.mean)
+	}
 	deviation = max(deviation, leastDeviation*mean)
 	waiting := float64(e.load.Waiting+max(e.load.Running-e.load.Slots+1, 0)) * decay(now.Sub(e.loadAt), loadHalfLife)
 	waiting = max(waiting, float64(len(e.starts)-slots+1))
 	expected := mean * (1 + max(waiting, 0)/float64(max(slots, 1)))
 	expected += e.overdue(mean+overdueDeviations*deviation, now)
-	expected += failCost * e.failing(prior.halfLife(failHalfLife), now) * w.Target.Seconds()
+	expected += failCost * max(e.failing(prior.halfLife(failHalfLife), now), verdict.Failing) * w.Target.Seconds()
 	out.Expected, out.Mean, out.Deviation = seconds(expected), seconds(mean), seconds(deviation)
 	out.Usual = seconds(prior.mean)
 	out.Running, out.Suspect = len(e.starts), e.deaths > 0
--- a/modules/ranker/ranker_test.go
+++ b/modules/ranker/ranker_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/ebonylock/ebonylock/modules/reporter"
 )
 
 var (
@@ -129,6 +131,33 @@
 	}
 }
 
+// warned is a Shared that has verdicts on some replicas.
+type warned map[uint64]reporter.Verdict
+
+func (warned) Run(uint64, bool, float64, time.Time) {}
+
+func (w warned) Of(replica uint64, _ time.Time) reporter.Verdict {
+	if v, ok := w[replica]; ok {
+		return v
+	}
+	return reporter.Verdict{Ratio: 1}
+}
+
+// TestWarnedByOthers is the pattern of a VM that has seen nothing of a grey or slow replica but was
+// told: it sends next to nothing there.
+func TestWarnedByOthers(t *testing.T) {
+	a := reporter.Hash("a")
+	for _, v := range []reporter.Verdict{{Replica: a, Failing: 0.5, Ratio: 1}, {Replica: a, Ratio: 8}} {
+		is := is.New(t)
+		p := player{now: start, every: 500 * time.Millisecond}
+		p.play(40, sound)
+		p.r.Shared = warned{a: v}
+		is.True(p.play(100, sound)["a"] <= 10)
+		p.r.Shared = nil
+		is.True(p.play(100, sound)["a"] >= 90)
+	}
+}
+
 // TestPauseCostsLittle is the pattern of a replica that pauses for 100 ms: no more work while it
 // lasts, and its place back soon after.
 func TestPauseCostsLittle(t *testing.T) {
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -32,6 +32,8 @@
 	CallerDelay time.Duration
 	// Losses is told of requests that crash replicas; nil for none.
 	Losses Losses
+	// Shared is what other VMs have seen of replicas; nil for none.
+	Shared ranker.Shared
 	// Announce tells other VMs of a loss; nil for none.
 	Announce func(l quarantiner.Loss)
 	// Log takes the lines that are kept first, Routine those of plain answers.
@@ -83,6 +85,7 @@
 		cfg:     cfg,
 		beliefs: beliefs,
 		backend: backend,
+		ranks:   ranker.Ranker{Shared: cfg.Shared},
 		metrics: newMetrics(),
 		log:     cfg.Log,
 		routine: cfg.Routine,
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -17,6 +17,7 @@
 	"github.com/ebonylock/ebonylock/modules/loader"
 	"github.com/ebonylock/ebonylock/modules/prober"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
+	"github.com/ebonylock/ebonylock/modules/reporter"
 	"github.com/ebonylock/ebonylock/modules/router"
 	"github.com/ebonylock/ebonylock/modules/spooler"
 	"github.com/ebonylock/ebonylock/platform/readier"
@@ -82,7 +83,9 @@
 	relay    *relayer.Server
 	guide    guide
 	// losses are the replicas that requests have crashed.
-	losses   quarantiner.Register
+	losses quarantiner.Register
+	// evidence is what all VMs have seen of replicas.
+	evidence reporter.Evidence
 	stopping atomic.Bool
 	// closing is true once new requests are refused.
 	closing  atomic.Bool
@@ -108,6 +111,7 @@
 		Log:         log,
 		Routine:     routine,
 		Losses:      &d.losses,
+		Shared:      &d.evidence,
 		Announce:    d.guide.announce,
 	}, d.follow, &d.backend)
 	if err := d.join(); err != nil {
@@ -172,7 +176,8 @@
 		return err
 	}
 	d.relay.OnLoss = func(l quarantiner.Loss) { d.losses.Report(l) }
-	d.guide = guide{self: d.site.VM.ID, store: store.New(d.site.Store), keys: relayKeys, log: d.log}
+	d.relay.Evidence = &d.evidence
+	d.guide = guide{self: d.site.VM.ID, store: store.New(d.site.Store), keys: relayKeys, evidence: &d.evidence, log: d.log}
 	self := prober.Member{
 		ID:          d.site.VM.ID,
 		DataCentre:  d.site.VM.DataCentre,
--- a/services/launcher/sources.go
+++ b/services/launcher/sources.go
@@ -12,6 +12,7 @@
 
 	"github.com/ebonylock/ebonylock/modules/prober"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
+	"github.com/ebonylock/ebonylock/modules/reporter"
 	"github.com/ebonylock/ebonylock/services/follower"
 	"github.com/ebonylock/ebonylock/services/relayer"
 	"github.com/ebonylock/ebonylock/services/replicator"
@@ -36,7 +37,9 @@
 	self  string
 	store replicator.Source
 	keys  [][]byte
-	log   *logrus.Logger
+	// evidence is told to the VMs that are followed, and learnt from them.
+	evidence *reporter.Evidence
+	log      *logrus.Logger
 
 	mu sync.Mutex
 	// ranked are the VMs that may read the store, in the same order on all VMs that believe
@@ -153,6 +156,7 @@
 			g.log.WithError(err).WithField("event", "relay").Error("no client for another VM")
 			return follower.Named{}, false
 		}
+		c.Evidence = g.evidence
 		if g.relays == nil {
 			g.relays = make(map[netip.AddrPort]*relayer.Client)
 		}
--- a/services/relayer/codec.go
+++ b/services/relayer/codec.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/ebonylock/ebonylock/modules/encoder"
+	"github.com/ebonylock/ebonylock/modules/reporter"
 	"github.com/ebonylock/ebonylock/services/replicator"
 )
 
@@ -23,6 +24,8 @@
 	questionAfter protowire.Number = 2
 	questionWait  protowire.Number = 3
 	questionEpoch protowire.Number = 4
+	// questionTallies has what the VM that asks has seen of replicas.
+	questionTallies protowire.Number = 5
 )
 
 func (q question) append(b []byte) []byte {
@@ -34,9 +37,8 @@
 	return encoder.AppendVarint(b, questionWait, uint64(q.wait.Milliseconds()))
 }
 
-func decodeQuestion(b []byte) (question, error) {
-	var q question
-	err := encoder.Fields(b, func(num protowire.Number, v uint64, _ []byte) error {
+func decodeQuestion(b []byte) (q question, tallies []reporter.Tally, err error) {
+	err = encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) (err error) {
 		switch num {
 		case questionWhole:
 			q.whole = v != 0
@@ -46,10 +48,12 @@
 			q.after.Epoch = v
 		case questionWait:
 			q.wait = milliseconds(v)
+		case questionTallies:
+			tallies, err = reporter.DecodeTallies(raw)
 		}
-		return nil
+		return err
 	})
-	return q, err
+	return q, tallies, err
 }
 
 // milliseconds bounds what another VM says to a day.
@@ -62,6 +66,8 @@
 const (
 	replyAge   protowire.Number = 1
 	replyBatch protowire.Number = 2
+	// replyVerdicts has the beliefs of all VMs about replicas that do badly.
+	replyVerdicts protowire.Number = 3
 
 	batchRevision protowire.Number = 1
 	batchItem     protowire.Number = 3
@@ -147,10 +153,9 @@
 	return encoder.AppendBytes(b, replyBatch, batch)
 }
 
-func decodeReply(b []byte) (replicator.Batch, error) {
-	var out replicator.Batch
+func decodeReply(b []byte) (out replicator.Batch, verdicts []reporter.Verdict, err error) {
 	var age time.Duration
-	err := encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) error {
+	err = encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) (err error) {
 		switch num {
 		case replyAge:
 			age = milliseconds(v)
@@ -161,9 +166,11 @@
 			}
 			out, err = decodeBatch(plain)
 			return err
+		case replyVerdicts:
+			verdicts, err = reporter.DecodeVerdicts(raw)
 		}
-		return nil
+		return err
 	})
 	out.Age = age
-	return out, err
+	return out, verdicts, err
 }
--- a/services/relayer/relayer.go
+++ b/services/relayer/relayer.go
@@ -13,8 +13,10 @@
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
+	"github.com/ebonylock/ebonylock/modules/encoder"
 	"github.com/ebonylock/ebonylock/modules/fetcher"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
+	"github.com/ebonylock/ebonylock/modules/reporter"
 	"github.com/ebonylock/ebonylock/modules/sealer"
 	"github.com/ebonylock/ebonylock/services/linker"
 	"github.com/ebonylock/ebonylock/services/replicator"
@@ -46,12 +48,15 @@
 type Server struct {
 	// OnLoss takes in a loss that another VM tells of; nil for none. It is set before Serve.
 	OnLoss func(l quarantiner.Loss)
-	source replicator.Source
-	sealer *sealer.Sealer
-	ln     net.Listener
-	srv    fasthttp.Server
-	ctx    context.Context
-	cancel context.CancelFunc
+	// Evidence takes in what other VMs have seen of replicas, and judges; nil for none. It is set
+	// before Serve.
+	Evidence *reporter.Evidence
+	source   replicator.Source
+	sealer   *sealer.Sealer
+	ln       net.Listener
+	srv      fasthttp.Server
+	ctx      context.Context
+	cancel   context.CancelFunc
 
 	mu sync.Mutex
 	// last is the batch that was compressed last; followers mostly ask for the same one.
@@ -109,11 +114,14 @@
 		s.takeLoss(ctx, plain)
 		return
 	}
-	q, err := decodeQuestion(plain)
+	q, tallies, err := decodeQuestion(plain)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
+	if s.Evidence != nil {
+		s.Evidence.Hear(tallies, time.Now())
+	}
 	var b replicator.Batch
 	if q.whole {
 		b, err = s.source.Snapshot(s.ctx)
@@ -126,7 +134,11 @@
 	case err != nil:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	default:
-		ctx.SetBody(s.sealer.Seal(appendReply(nil, b.Age, s.compressed(q, b))))
+		reply := appendReply(nil, b.Age, s.compressed(q, b))
+		if s.Evidence != nil {
+			reply = encoder.AppendBytes(reply, replyVerdicts, reporter.AppendVerdicts(nil, s.Evidence.Judge(time.Now())))
+		}
+		ctx.SetBody(s.sealer.Seal(reply))
 	}
 }
 
@@ -158,8 +170,10 @@
 
 // Client follows another VM. It implements replicator.Source.
 type Client struct {
-	sealer *sealer.Sealer
-	c      *fetcher.Client
+	// Evidence is what this VM tells of replicas and takes in; nil for none. It is set before use.
+	Evidence *reporter.Evidence
+	sealer   *sealer.Sealer
+	c        *fetcher.Client
 }
 
 // maxConns is the number of connections to another VM.
@@ -189,7 +203,11 @@
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	body := c.sealer.Seal(q.append(nil))
+	plain := q.append(nil)
+	if c.Evidence != nil {
+		plain = encoder.AppendBytes(plain, questionTallies, reporter.AppendTallies(nil, c.Evidence.Tallies(time.Now())))
+	}
+	body := c.sealer.Seal(plain)
 	code, reply, err := c.c.Raw(fasthttp.MethodPost, pathRead, "application/octet-stream", body, deadline)
 	switch {
 	case err != nil:
@@ -199,14 +217,16 @@
 	case code != fasthttp.StatusOK:
 		return replicator.Batch{}, oops.Wrapf(ErrUnreachable, "status %d", code)
 	}
-	plain, err := c.sealer.Open(reply)
-	if err != nil {
+	if plain, err = c.sealer.Open(reply); err != nil {
 		return replicator.Batch{}, oops.Wrap(errors.Join(ErrUnreachable, err))
 	}
-	b, err := decodeReply(plain)
+	b, verdicts, err := decodeReply(plain)
 	if err != nil {
 		return replicator.Batch{}, oops.Wrap(errors.Join(ErrUnreachable, err))
 	}
+	if c.Evidence != nil {
+		c.Evidence.Take(verdicts, time.Now())
+	}
 	return b, nil
 }
 
--- a/services/relayer/relayer_test.go
+++ b/services/relayer/relayer_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/ebonylock/ebonylock/modules/fetcher"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
+	"github.com/ebonylock/ebonylock/modules/reporter"
 	"github.com/ebonylock/ebonylock/services/replicator"
 )
 
@@ -133,7 +134,7 @@
 	is.True(&first[0] == &second[0])
 	is.True(len(first) < 3000) // 25 kB without compression
 	other := s.compressed(question{after: replicator.Mark{Revision: 4}}, batch(9))
-	got, err := decodeReply(appendReply(nil, time.Second, other))
+	got, _, err := decodeReply(appendReply(nil, time.Second, other))
 	is.NoErr(err)
 	is.Equal(len(got.Items), 0)
 	is.Equal(got.Age, time.Second)
@@ -142,8 +143,38 @@
 func FuzzDecodeReply(f *testing.F) {
 	f.Add(appendReply(nil, time.Second, compress(batch(3, replicator.Item{Key: "k", Value: []byte("v"), Revision: 2}))))
 	f.Fuzz(func(_ *testing.T, raw []byte) {
-		_, _ = decodeReply(raw)
-		_, _ = decodeQuestion(raw)
+		_, _, _ = decodeReply(raw)
+		_, _, _ = decodeQuestion(raw)
 		_, _ = decodeBatch(raw)
 	})
 }
+
+// TestEvidenceTravels: what one VM has seen of a replica reaches another one with the questions
+// that both ask anyway.
+func TestEvidenceTravels(t *testing.T) {
+	is := is.New(t)
+	var c replicator.Copy
+	c.Load(batch(5, replicator.Item{Key: "a", Revision: 3}), time.Now())
+	s, grieved := start(t, &c)
+	var hub, seen, told reporter.Evidence
+	s.Evidence, grieved.Evidence = &hub, &seen
+	other, err := NewClient(s.Addr(), keys)
+	is.NoErr(err)
+	other.Evidence = &told
+	now := time.Now()
+	replica := reporter.Hash("i-1")
+	for range 20 {
+		seen.Run(replica, false, 0, now)
+		seen.Run(reporter.Hash("i-2"), true, 1, now)
+	}
+	is.Equal(told.Of(replica, now).Failing, 0.0)
+	for _, client := range []*Client{grieved, other} {
+		_, err := client.Snapshot(context.Background())
+		is.NoErr(err)
+	}
+	now = time.Now()
+	for _, e := range []*reporter.Evidence{&hub, &seen, &told} {
+		is.True(e.Of(replica, now).Failing > 0.9)
+		is.Equal(e.Of(reporter.Hash("i-2"), now).Failing, 0.0)
+	}
+}
