A lost reply is a failure, not a sign of death

Each lost reply counted as a sign of death: the replica was left for 200 ms or more, and the first request after was hedged after 3 ms, from a budget that then was missing. Whether the replica is down is looked at anyway; only that counts as death now.

--- a/modules/ranker/ranker.go
+++ b/modules/ranker/ranker.go
@@ -299,6 +299,13 @@
 	return change
 }
 
+// Condemn takes in that a replica was found dead beside its runs, and returns what it changes.
+func (r *Ranker) Condemn(id string, now time.Time) Change {
+	var change Change
+	r.with(id, func(e *evidence) { change = e.judge(Dead, failHalfLife, now) })
+	return change
+}
+
 func (e *evidence) work(w Work) *average {
 	a := e.works[w]
 	if a == nil {
