--- a/modules/ranker/ranker.go
+++ b/modules/ranker/ranker.go
@@ -74,7 +74,10 @@
 	Failed
 	// Shed is a refusal for load.
 	Shed
-	// Dead is a connection that was refused or broke.
+	// Lost is a connection that broke before a whole reply. It may be the fault of either end, or of
+	// too many connections, so that other VMs are not told.
+	Lost
+	// Dead is a connection that was refused.
 	Dead
 	// Silent is a run that was given up without a reply. It is a sign of death unless the
 	// replica has replied to another request meanwhile.
@@ -83,6 +86,11 @@
 	Unjudged
 )
 
+// telling reports whether the outcome is the replica's own, and no matter of the way to it.
+func (o Outcome) telling() bool {
+	return o == Served || o == Failed || o == Shed || o == Silent
+}
+
 // Load is what a replica told of its own load.
 type Load struct {
 	Running, Waiting, Slots int
@@ -293,7 +301,7 @@
 	if run.Outcome == Served {
 		r.learn(w, took, now)
 	}
-	if r.Shared != nil && run.Outcome != Unjudged && prior.mean > 0 {
+	if r.Shared != nil && run.Outcome.telling() && prior.mean > 0 {
 		r.Shared.Run(reporter.Hash(id), run.Outcome == Served, took/prior.mean, now)
 	}
 	return change
@@ -330,6 +338,8 @@
 		return e.reply(0, halfLife, now)
 	case Failed:
 		return e.reply(1, halfLife, now)
+	case Lost:
+		e.fail(1, halfLife, now)
 	case Shed:
 		return e.reply(shedShare, halfLife, now)
 	case Dead:
--- a/modules/ranker/ranker_test.go
+++ b/modules/ranker/ranker_test.go
@@ -87,6 +87,7 @@
 		{"very slow", 300 * time.Millisecond, Served, 20, 20},
 		{"silent", 400 * time.Millisecond, Silent, 20, 20},
 		{"refuses connections", time.Millisecond, Dead, 20, 50},
+		{"loses replies", 5 * time.Millisecond, Lost, 30, 20},
 		{"fails", 5 * time.Millisecond, Failed, 30, 20},
 		{"sheds", time.Millisecond, Shed, 40, 50},
 	} {
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -405,7 +405,7 @@
 		return ranker.Failed
 	case errors.Is(err, ErrLost) && !fl.callerLeft():
 		// Whether the replica is down is looked at apart.
-		return ranker.Failed
+		return ranker.Lost
 	case errors.Is(err, ErrBusy), errors.Is(err, ErrUnwanted), fl.callerLeft():
 		return ranker.Unjudged
 	case errors.Is(err, ErrSilent):
