--- a/modules/ranker/ranker.go
+++ b/modules/ranker/ranker.go
@@ -47,6 +47,8 @@
 	lastEject  = 1600 * time.Millisecond
 	// maxDoublings bounds the growth of that time.
 	maxDoublings = 8
+	// certain is the number of runs of a service from which on its mean is worth telling.
+	certain = 8
 	// doubt is the number of looks at a replica of which one leaves the verdict of other VMs aside.
 	doubt = 32
 	// shedShare is the share of a failure that a refusal counts for.
@@ -273,6 +275,9 @@
 	Outcome Outcome
 	// Load is nil when the replica told none.
 	Load *Load
+	// Fresh is true for the first run on a connection. Its time tells of the connection too, and is
+	// not taken for that of the work.
+	Fresh bool
 }
 
 // End takes in the end of a run and returns what it changes.
@@ -294,15 +299,19 @@
 			}
 		}
 		change = e.judge(o, halfLife, now)
-		if o == Served || (o == Unjudged && took > e.work(w).mean) {
+		if (o == Served && !run.Fresh) || (o == Unjudged && took > e.work(w).mean) {
 			e.work(w).add(took, now)
 		}
 	})
-	if run.Outcome == Served {
+	if run.Outcome == Served && !run.Fresh {
 		r.learn(w, took, now)
 	}
 	if r.Shared != nil && run.Outcome.telling() && prior.mean > 0 {
-		r.Shared.Run(reporter.Hash(id), run.Outcome == Served, took/prior.mean, now)
+		ratio := 1.0
+		if !run.Fresh && prior.runs >= certain {
+			ratio = took / prior.mean
+		}
+		r.Shared.Run(reporter.Hash(id), run.Outcome == Served, ratio, now)
 	}
 	return change
 }
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -379,7 +379,7 @@
 	fl, now := t.fl, time.Now()
 	run := ranker.Run{Began: t.began, Outcome: fl.judge(reply, err)}
 	if reply != nil {
-		run.Load = reply.Load
+		run.Load, run.Fresh = reply.Load, reply.Fresh
 	}
 	if !t.sent.IsZero() {
 		run.Took = now.Sub(t.sent)
