--- a/modules/ranker/ranker_test.go
+++ b/modules/ranker/ranker_test.go
@@ -233,6 +233,26 @@
 	is.True(e.Ejected && e.Dead && e.Running == 1)
 }
 
+// TestFirstRunOnAConnection is the pattern of a fleet that has just started and opens connections
+// everywhere: the time that this takes is not held against the replicas.
+func TestFirstRunOnAConnection(t *testing.T) {
+	is := is.New(t)
+	var seen reporter.Evidence
+	r := Ranker{Shared: &seen}
+	now := start
+	run := func(id string, took time.Duration, fresh bool) {
+		r.Begin(id, now)
+		r.End(id, work, Run{Began: now, Took: took, Outcome: Served, Fresh: fresh}, now.Add(took))
+		now = now.Add(20 * time.Millisecond)
+	}
+	for range 20 {
+		run("b", 4*time.Millisecond, false)
+		run("a", 30*time.Millisecond, true)
+	}
+	is.True(r.Estimate("a", 2, work, now).Expected < 8*time.Millisecond)
+	is.Equal(len(seen.Judge(now)), 0)
+}
+
 func TestForget(t *testing.T) {
 	is := is.New(t)
 	var r Ranker
