--- a/services/forwarder/crasher.go
+++ b/services/forwarder/crasher.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
+	"github.com/ebonylock/ebonylock/modules/registrar"
 )
 
 // reachTimeout limits the look whether a replica that broke a connection still takes new ones.
@@ -25,18 +26,15 @@
 	fl.proven = true
 }
 
-// checkLoss looks whether a replica that broke the connection of a try at the time given is
-// down. A lost reply alone says nothing against the request, and little against the replica.
-func (f *Forwarder) checkLoss(t *try, fp quarantiner.Fingerprint, at time.Time) {
-	c := t.to
-	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
-	defer cancel()
-	err := f.backend.Reach(ctx, c)
-	if err == nil {
+// checkLoss looks whether a replica that broke the connection of a request at the time given is
+// down. A lost reply alone says nothing against the request.
+func (f *Forwarder) checkLoss(c *registrar.Candidate, fp quarantiner.Fingerprint, at time.Time) {
+	if f.cfg.Losses == nil {
 		return
 	}
-	f.logChange(t, f.ranks.Condemn(c.Key, time.Now()), err)
-	if f.cfg.Losses == nil {
+	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
+	defer cancel()
+	if f.backend.Reach(ctx, c) == nil {
 		return
 	}
 	l := quarantiner.Loss{Fingerprint: fp, Server: c.Key, At: at}
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -387,7 +387,7 @@
 	change := fl.f.ranks.End(t.to.Key, t.part.work, run, now)
 	fl.f.logChange(t, change, err)
 	if errors.Is(err, ErrLost) && !fl.callerLeft() {
-		go fl.f.checkLoss(t, fl.fingerprint, now)
+		go fl.f.checkLoss(t.to, fl.fingerprint, now)
 	}
 	fl.inbox.add(result{try: t, reply: reply, err: err, at: now})
 }
@@ -404,7 +404,6 @@
 	case err == nil, errors.Is(err, ErrBadReply):
 		return ranker.Failed
 	case errors.Is(err, ErrLost) && !fl.callerLeft():
-		// Whether the replica is down is looked at apart.
 		return ranker.Lost
 	case errors.Is(err, ErrBusy), errors.Is(err, ErrUnwanted), fl.callerLeft():
 		return ranker.Unjudged
