--- a/modules/ranker/ranker.go
+++ b/modules/ranker/ranker.go
@@ -159,7 +159,13 @@
 	shards [shards]shard
 	// priors are the averages over all replicas of a service.
 	priorMu sync.Mutex
-	priors  map[Work]*average
+	priors  map[kind]*average
+}
+
+// kind tells the first runs on connections from the others.
+type kind struct {
+	Work
+	fresh bool
 }
 
 type shard struct {
@@ -234,26 +240,31 @@
 	f(e)
 }
 
+// prior is the average of the runs on connections that were open.
 func (r *Ranker) prior(w Work) average {
+	return r.priorOf(kind{Work: w})
+}
+
+func (r *Ranker) priorOf(k kind) average {
 	r.priorMu.Lock()
 	defer r.priorMu.Unlock()
-	if a := r.priors[w]; a != nil {
+	if a := r.priors[k]; a != nil {
 		return *a
 	}
-	v := unknown * w.Target.Seconds()
+	v := unknown * k.Target.Seconds()
 	return average{mean: v, deviation: v / 2}
 }
 
-func (r *Ranker) learn(w Work, took float64, now time.Time) {
+func (r *Ranker) learn(k kind, took float64, now time.Time) {
 	r.priorMu.Lock()
 	defer r.priorMu.Unlock()
 	if r.priors == nil {
-		r.priors = make(map[Work]*average)
+		r.priors = make(map[kind]*average)
 	}
-	a := r.priors[w]
+	a := r.priors[k]
 	if a == nil {
 		a = &average{}
-		r.priors[w] = a
+		r.priors[k] = a
 	}
 	a.add(took, now)
 }
@@ -275,15 +286,17 @@
 	Outcome Outcome
 	// Load is nil when the replica told none.
 	Load *Load
-	// Fresh is true for the first run on a connection. Its time tells of the connection too, and is
-	// not taken for that of the work.
+	// Fresh is true for the first run on a connection, whose time tells of the connection too.
 	Fresh bool
 }
 
 // End takes in the end of a run and returns what it changes.
 func (r *Ranker) End(id string, w Work, run Run, now time.Time) Change {
 	took := run.Took.Seconds()
-	prior := r.prior(w)
+	prior, alike, opening := r.prior(w), r.priorOf(kind{w, run.Fresh}), 0.0
+	if run.Fresh && alike.runs > 0 && prior.runs > 0 {
+		opening = min(max(alike.mean-prior.mean, 0), max(took-prior.mean/2, 0))
+	}
 	halfLife := prior.halfLife(failHalfLife)
 	var change Change
 	r.with(id, func(e *evidence) {
@@ -299,17 +312,17 @@
 			}
 		}
 		change = e.judge(o, halfLife, now)
-		if (o == Served && !run.Fresh) || (o == Unjudged && took > e.work(w).mean) {
-			e.work(w).add(took, now)
+		if o == Served || (o == Unjudged && took > e.work(w).mean) {
+			e.work(w).add(took-opening, now)
 		}
 	})
-	if run.Outcome == Served && !run.Fresh {
-		r.learn(w, took, now)
+	if run.Outcome == Served {
+		r.learn(kind{w, run.Fresh}, took, now)
 	}
 	if r.Shared != nil && run.Outcome.telling() && prior.mean > 0 {
 		ratio := 1.0
-		if !run.Fresh && prior.runs >= certain {
-			ratio = took / prior.mean
+		if alike.runs >= certain {
+			ratio = took / alike.mean
 		}
 		r.Shared.Run(reporter.Hash(id), run.Outcome == Served, ratio, now)
 	}
