--- a/modules/ranker/ranker.go
+++ b/modules/ranker/ranker.go
@@ -47,8 +47,6 @@
 	lastEject  = 1600 * time.Millisecond
 	// maxDoublings bounds the growth of that time.
 	maxDoublings = 8
-	// certain is the number of runs of a service from which on its mean is worth telling.
-	certain = 8
 	// doubt is the number of looks at a replica of which one leaves the verdict of other VMs aside.
 	doubt = 32
 	// shedShare is the share of a failure that a refusal counts for.
@@ -76,10 +74,7 @@
 	Failed
 	// Shed is a refusal for load.
 	Shed
-	// Lost is a connection that broke before a whole reply. It is a sign of death, but may be due to
-	// too many connections, so that other VMs are not told.
-	Lost
-	// Dead is a connection that was refused.
+	// Dead is a connection that was refused or broke.
 	Dead
 	// Silent is a run that was given up without a reply. It is a sign of death unless the
 	// replica has replied to another request meanwhile.
@@ -88,11 +83,6 @@
 	Unjudged
 )
 
-// telling reports whether the outcome is the replica's own, and no matter of the way to it.
-func (o Outcome) telling() bool {
-	return o == Served || o == Failed || o == Shed || o == Silent
-}
-
 // Load is what a replica told of its own load.
 type Load struct {
 	Running, Waiting, Slots int
@@ -154,18 +144,14 @@
 
 // Ranker holds the evidence. The zero value is ready for use.
 type Ranker struct {
-	// Shared is nil where nothing is shared. It is set before use.
-	Shared Shared
+	// Shared is nil where nothing is shared. Its verdicts are heeded from SharedFrom on. Both are
+	// set before use.
+	Shared     Shared
+	SharedFrom time.Time
 	shards [shards]shard
 	// priors are the averages over all replicas of a service.
 	priorMu sync.Mutex
-	priors  map[kind]*average
-}
-
-// kind tells the first runs on connections from the others.
-type kind struct {
-	Work
-	fresh bool
+	priors  map[Work]*average
 }
 
 type shard struct {
@@ -240,31 +226,26 @@
 	f(e)
 }
 
-// prior is the average of the runs on connections that were open.
 func (r *Ranker) prior(w Work) average {
-	return r.priorOf(kind{Work: w})
-}
-
-func (r *Ranker) priorOf(k kind) average {
 	r.priorMu.Lock()
 	defer r.priorMu.Unlock()
-	if a := r.priors[k]; a != nil {
+	if a := r.priors[w]; a != nil {
 		return *a
 	}
-	v := unknown * k.Target.Seconds()
+	v := unknown * w.Target.Seconds()
 	return average{mean: v, deviation: v / 2}
 }
 
-func (r *Ranker) learn(k kind, took float64, now time.Time) {
+func (r *Ranker) learn(w Work, took float64, now time.Time) {
 	r.priorMu.Lock()
 	defer r.priorMu.Unlock()
 	if r.priors == nil {
-		r.priors = make(map[kind]*average)
+		r.priors = make(map[Work]*average)
 	}
-	a := r.priors[k]
+	a := r.priors[w]
 	if a == nil {
 		a = &average{}
-		r.priors[k] = a
+		r.priors[w] = a
 	}
 	a.add(took, now)
 }
@@ -286,17 +267,12 @@
 	Outcome Outcome
 	// Load is nil when the replica told none.
 	Load *Load
-	// Fresh is true for the first run on a connection, whose time tells of the connection too.
-	Fresh bool
 }
 
 // End takes in the end of a run and returns what it changes.
 func (r *Ranker) End(id string, w Work, run Run, now time.Time) Change {
 	took := run.Took.Seconds()
-	prior, alike, opening := r.prior(w), r.priorOf(kind{w, run.Fresh}), 0.0
-	if run.Fresh && alike.runs > 0 && prior.runs > 0 {
-		opening = min(max(alike.mean-prior.mean, 0), max(took-prior.mean/2, 0))
-	}
+	prior := r.prior(w)
 	halfLife := prior.halfLife(failHalfLife)
 	var change Change
 	r.with(id, func(e *evidence) {
@@ -313,18 +289,14 @@
 		}
 		change = e.judge(o, halfLife, now)
 		if o == Served || (o == Unjudged && took > e.work(w).mean) {
-			e.work(w).add(took-opening, now)
+			e.work(w).add(took, now)
 		}
 	})
 	if run.Outcome == Served {
-		r.learn(kind{w, run.Fresh}, took, now)
+		r.learn(w, took, now)
 	}
-	if r.Shared != nil && run.Outcome.telling() && prior.mean > 0 {
-		ratio := 1.0
-		if alike.runs >= certain {
-			ratio = took / alike.mean
-		}
-		r.Shared.Run(reporter.Hash(id), run.Outcome == Served, ratio, now)
+	if r.Shared != nil && run.Outcome != Unjudged && prior.mean > 0 {
+		r.Shared.Run(reporter.Hash(id), run.Outcome == Served, took/prior.mean, now)
 	}
 	return change
 }
@@ -355,7 +327,7 @@
 		return e.reply(1, halfLife, now)
 	case Shed:
 		return e.reply(shedShare, halfLife, now)
-	case Lost, Dead:
+	case Dead:
 		e.fail(1, halfLife, now)
 		if now.Before(e.ejectedUntil) {
 			return None
@@ -403,7 +375,7 @@
 	prior := r.prior(w)
 	verdict := reporter.Verdict{Ratio: 1}
 	// Now and then the verdict is left aside, so that it ends when the replica is well.
-	if r.Shared != nil && rand.IntN(doubt) > 0 {
+	if r.Shared != nil && now.After(r.SharedFrom) && rand.IntN(doubt) > 0 {
 		verdict = r.Shared.Of(reporter.Hash(id), now)
 	}
 	var out Estimate
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -379,7 +379,7 @@
 	fl, now := t.fl, time.Now()
 	run := ranker.Run{Began: t.began, Outcome: fl.judge(reply, err)}
 	if reply != nil {
-		run.Load, run.Fresh = reply.Load, reply.Fresh
+		run.Load = reply.Load
 	}
 	if !t.sent.IsZero() {
 		run.Took = now.Sub(t.sent)
@@ -403,8 +403,6 @@
 		return ranker.Shed
 	case err == nil, errors.Is(err, ErrBadReply):
 		return ranker.Failed
-	case errors.Is(err, ErrLost) && !fl.callerLeft():
-		return ranker.Lost
 	case errors.Is(err, ErrBusy), errors.Is(err, ErrUnwanted), fl.callerLeft():
 		return ranker.Unjudged
 	case errors.Is(err, ErrSilent):
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -59,6 +59,9 @@
 	fadingLast = time.Minute
 	// coldLast is added to the expectation of a cold replica that bears only so many requests.
 	coldLast = 30 * time.Second
+	// youth is the time after a start in which what other VMs have seen is left aside: when many
+	// start at once, it is the load of their own return.
+	youth = 10 * time.Second
 	// noConn is added to the expectation of a replica to which no connection is free.
 	noConn = 5 * time.Second
 )
@@ -85,7 +88,7 @@
 		cfg:     cfg,
 		beliefs: beliefs,
 		backend: backend,
-		ranks:   ranker.Ranker{Shared: cfg.Shared},
+		ranks:   ranker.Ranker{Shared: cfg.Shared, SharedFrom: time.Now().Add(youth)},
 		metrics: newMetrics(),
 		log:     cfg.Log,
 		routine: cfg.Routine,
--- a/services/forwarder/types.go
+++ b/services/forwarder/types.go
@@ -112,8 +112,6 @@
 	Misdirected bool
 	// Load is what the replica told of its load; nil if nothing.
 	Load *ranker.Load
-	// Fresh is true for the first reply on a connection, which took the time to accept it as well.
-	Fresh bool
 }
 
 // Success reports whether the reply is a whole success.
