--- a/modules/ranker/ranker.go
+++ b/modules/ranker/ranker.go
@@ -148,7 +148,7 @@
 	// set before use.
 	Shared     Shared
 	SharedFrom time.Time
-	shards [shards]shard
+	shards     [shards]shard
 	// priors are the averages over all replicas of a service.
 	priorMu sync.Mutex
 	priors  map[Work]*average
