--- a/modules/reporter/reporter.go
+++ b/modules/reporter/reporter.go
@@ -197,6 +197,10 @@
 
 // Known holds the verdicts that this VM was told of. The zero value is ready for use.
 type Known struct {
+	// OnChange is told of each verdict that begins, and of each that has ended; nil for nobody. It is
+	// set before use.
+	OnChange func(v Verdict, ended bool)
+
 	mu       sync.RWMutex
 	verdicts map[uint64]known
 }
@@ -208,19 +212,37 @@
 
 // Take takes in verdicts.
 func (k *Known) Take(list []Verdict, now time.Time) {
+	begun, ended := k.update(list, now)
+	if k.OnChange == nil {
+		return
+	}
+	for _, v := range ended {
+		k.OnChange(v, true)
+	}
+	for _, v := range begun {
+		k.OnChange(v, false)
+	}
+}
+
+func (k *Known) update(list []Verdict, now time.Time) (begun, ended []Verdict) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.verdicts == nil {
 		k.verdicts = make(map[uint64]known)
 	}
+	for _, v := range list {
+		if _, ok := k.verdicts[v.Replica]; !ok {
+			begun = append(begun, v)
+		}
+		k.verdicts[v.Replica] = known{v, now}
+	}
 	for key, v := range k.verdicts {
 		if now.Sub(v.at) > validFor {
+			ended = append(ended, v.Verdict)
 			delete(k.verdicts, key)
 		}
 	}
-	for _, v := range list {
-		k.verdicts[v.Replica] = known{v, now}
-	}
+	return begun, ended
 }
 
 // Of returns the verdict on a replica; one on which there is none does well.
--- a/modules/reporter/reporter_test.go
+++ b/modules/reporter/reporter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -54,9 +55,12 @@
 func TestGoodRunsEndAVerdict(t *testing.T) {
 	is := is.New(t)
 	var hub Book
-	var k Known
+	changes := ""
+	k := Known{OnChange: func(v Verdict, ended bool) { changes += fmt.Sprintln(v.Replica, ended) }}
 	hub.Add(Tally{Replica: 1, Bad: 10}, start)
 	k.Take(hub.Verdicts(start), start)
+	k.Take(hub.Verdicts(start), start)
+	is.Equal(changes, "1 false\n")
 	is.Equal(k.Of(1, start).Failing, 1.0)
 	is.Equal(k.Of(2, start).Failing, 0.0)
 	is.Equal(k.Of(1, start.Add(time.Hour)).Failing, 0.0)
@@ -66,6 +70,8 @@
 		hub.Run(1, true, 1, now)
 	}
 	is.Equal(len(hub.Verdicts(now)), 0)
+	k.Take(nil, now)
+	is.Equal(changes, "1 false\n1 true\n")
 }
 
 // TestForgotten: nothing is kept of replicas that are no longer seen.
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,58 +61,6 @@
 	over atomic.Bool
 }
 
-// try is one send of a part. It implements Sending.
-type try struct {
-	fl    *flight
-	part  *part
-	to    *registrar.Candidate
-	began time.Time
-	hedge bool
-	// extra is the number of extra sends that were accounted for.
-	extra float64
-	// sent is the time at which the sender began to write; zero if it did not.
-	sent time.Time
-	// took and end are set when the flight takes in the result.
-	took time.Duration
-	end  string
-	// exchange is what the Backend does for it.
-	exchange Exchange
-}
-
-type result struct {
-	try   *try
-	reply *Reply
-	err   error
-	at    time.Time
-}
-
-// inbox takes in the ends of tries from any goroutine.
-type inbox struct {
-	mu      sync.Mutex
-	results []result
-	// arrived has room for one value, which says that results is not empty.
-	arrived chan struct{}
-}
-
-func (i *inbox) add(r result) {
-	i.mu.Lock()
-	i.results = append(i.results, r)
-	i.mu.Unlock()
-	select {
-	case i.arrived <- struct{}{}:
-	default:
-	}
-}
-
-// take returns what has come since the last call.
-func (i *inbox) take() []result {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	out := i.results
-	i.results = nil
-	return out
-}
-
 // flight is one request under way. It belongs to the goroutine that serves the request; tries
 // report through the inbox.
 type flight struct {
@@ -296,7 +242,7 @@
 	for _, p := range fl.parts {
 		if !p.ended && !p.hedgeAt.IsZero() && !now.Before(p.hedgeAt) {
 			p.hedgeAt = time.Time{}
-			fl.launch(p, true)
+			fl.launch(p, p.open > 0)
 		}
 	}
 	return true
@@ -352,65 +298,6 @@
 	p.parked = parked
 }
 
-// kind is one of the kinds of sends.
-func (t *try) kind() int {
-	switch {
-	case t.hedge:
-		return sendHedge
-	case len(t.part.tries) > 1:
-		return sendRetry
-	}
-	return sendFirst
-}
-
-// Wanted implements Sending.
-func (t *try) Wanted() bool {
-	now := time.Now()
-	if t.part.over.Load() {
-		t.part.budget.Refund(t.extra, now)
-		return false
-	}
-	t.sent = now
-	return true
-}
-
-// Done implements Sending.
-func (t *try) Done(reply *Reply, err error) {
-	fl, now := t.fl, time.Now()
-	run := ranker.Run{Began: t.began, Outcome: fl.judge(reply, err)}
-	if reply != nil {
-		run.Load = reply.Load
-	}
-	if !t.sent.IsZero() {
-		run.Took = now.Sub(t.sent)
-	}
-	change := fl.f.ranks.End(t.to.Key, t.part.work, run, now)
-	fl.f.logChange(t, change, err)
-	if errors.Is(err, ErrLost) && !fl.callerLeft() {
-		go fl.f.checkLoss(t.to, fl.fingerprint, now)
-	}
-	fl.inbox.add(result{try: t, reply: reply, err: err, at: now})
-}
-
-// judge says what the end of a try tells of its replica.
-func (fl *flight) judge(reply *Reply, err error) ranker.Outcome {
-	switch {
-	case err == nil && reply.Success():
-		return ranker.Served
-	case err == nil && reply.Misdirected:
-		return ranker.Dead
-	case err == nil && reply.NotRun:
-		return ranker.Shed
-	case err == nil, errors.Is(err, ErrBadReply):
-		return ranker.Failed
-	case errors.Is(err, ErrBusy), errors.Is(err, ErrUnwanted), fl.callerLeft():
-		return ranker.Unjudged
-	case errors.Is(err, ErrSilent):
-		return ranker.Silent
-	}
-	return ranker.Dead
-}
-
 // take takes in the end of a try.
 func (fl *flight) take(r result) {
 	p := r.try.part
@@ -455,38 +342,6 @@
 	fl.launch(p, false)
 }
 
-// unsent reports whether err says that the replica got nothing.
-func unsent(err error) bool {
-	return errors.Is(err, ErrUnsent) || errors.Is(err, ErrBusy) || errors.Is(err, ErrUnwanted)
-}
-
-// ending is a word for how a try ended.
-func ending(r result) string {
-	switch {
-	case errors.Is(r.err, ErrUnsent):
-		return "not-sent"
-	case errors.Is(r.err, ErrUnwanted):
-		return "not-needed"
-	case errors.Is(r.err, ErrBusy):
-		return "no-connection-free"
-	case errors.Is(r.err, ErrLost):
-		return "connection-lost"
-	case errors.Is(r.err, ErrBadReply):
-		return "bad-reply"
-	case errors.Is(r.err, ErrSilent):
-		return "silent"
-	case r.err != nil:
-		return "error"
-	case r.reply.Misdirected:
-		return "misdirected"
-	case r.reply.NotRun:
-		return "shed"
-	case !r.reply.Success():
-		return "failed"
-	}
-	return "served"
-}
-
 func (fl *flight) giveUp(p *part, reason string) {
 	p.ended, p.reason = true, reason
 	fl.ended++
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -176,6 +176,7 @@
 		return err
 	}
 	d.relay.OnLoss = func(l quarantiner.Loss) { d.losses.Report(l) }
+	d.evidence.OnChange = d.judged
 	d.relay.Evidence = &d.evidence
 	d.guide = guide{self: d.site.VM.ID, store: store.New(d.site.Store), keys: relayKeys, evidence: &d.evidence, log: d.log}
 	self := prober.Member{
@@ -199,6 +200,21 @@
 	return nil
 }
 
+// judged writes that all VMs together hold a replica for failing or slow, or no longer do.
+func (d *Daemon) judged(v reporter.Verdict, ended bool) {
+	fields := logrus.Fields{"event": "replica-judged", "failing": v.Failing, "ratio": v.Ratio, "ended": ended}
+	if state := d.follow.State(); state != nil {
+		for _, list := range state.View.Services {
+			for _, c := range list {
+				if reporter.Hash(c.Key) == v.Replica {
+					fields["replica"], fields["service"], fields["data-centre"] = c.ID, c.Service, c.DataCentre
+				}
+			}
+		}
+	}
+	d.log.WithFields(fields).Info("belief of all VMs about a replica changed")
+}
+
 // setSeeds takes in the addresses of VMs that may be alive, which all listen on the same port.
 func (d *Daemon) setSeeds(addrs []netip.AddrPort) {
 	seeds := make([]netip.AddrPort, len(addrs))
