--- a/services/launcher/launcher_test.go
+++ b/services/launcher/launcher_test.go
@@ -68,6 +68,12 @@
 }`
 
 func start(t *testing.T) *world {
+	t.Helper()
+	return startWith(t, nil)
+}
+
+// startWith starts a VM that logs to out, or to the world's own log if out is nil.
+func startWith(t *testing.T, out io.Writer) *world {
 	t.Helper()
 	w := &world{t: t, is: is.New(t), replicas: make(map[string]*site.Replica), ended: make(chan error, 1)}
 	var err error
@@ -80,7 +86,10 @@
 	w.configure(1, `"gather":["a","b"],"top_k":3,"min_shard_share":0.5`)
 	s, err := loader.LoadSite("test", fmt.Appendf(nil, settings, w.store.Addr()))
 	w.is.NoErr(err)
-	w.d, err = New(s, &w.log)
+	if out == nil {
+		out = &w.log
+	}
+	w.d, err = New(s, out)
 	w.is.NoErr(err)
 	go func() { w.ended <- w.d.Run(context.Background()) }()
 	t.Cleanup(func() {
@@ -235,6 +244,31 @@
 	w.ended <- nil
 }
 
+// stuck is an output that takes nothing until it is freed.
+type stuck chan struct{}
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s
+	return len(p), nil
+}
+
+// TestStuckOutput: a reader of standard output that has stalled delays no request, and the lines that
+// find no room are counted.
+func TestStuckOutput(t *testing.T) {
+	out := make(stuck)
+	w := startWith(t, out)
+	t.Cleanup(func() { close(out) })
+	is := w.is
+	w.until(func() bool { resp, _ := w.ask("wait", "/write/x"); return resp.StatusCode == 200 })
+	for i := 0; w.d.spool.Dropped() == 0; i++ {
+		is.True(i < 20_000) // a queue of 512 KiB holds far fewer lines
+		resp, _ := w.ask(fmt.Sprint("r-", i), "/none/x")
+		is.Equal(resp.StatusCode, 404)
+	}
+	resp, _ := w.ask("last", "/write/x")
+	is.Equal(resp.StatusCode, 200)
+}
+
 func TestRank(t *testing.T) {
 	is := is.New(t)
 	var members []prober.Member
--- a/tests/soak/harm.go
+++ b/tests/soak/harm.go
@@ -207,7 +207,7 @@
 
 // restart starts the VM's process again.
 func (w *world) restart(v *vm) {
-	if err := v.Start(w.cfg.Bin, w.dir, w.cfg.Log); err != nil {
+	if err := v.Start(w.cfg.Bin, w.dir, w.logs.process()); err != nil {
 		w.book.fault("soak: %s does not start: %v", v.id, err)
 	}
 	v.release()
--- a/tests/soak/world.go
+++ b/tests/soak/world.go
@@ -28,6 +28,8 @@
 	storePage = 20
 	// patience limits the wait for what has to happen, where its time is not checked.
 	patience = time.Minute
+	// logTime is the time in which a line is out after its request has ended.
+	logTime = 2 * time.Second
 	// balancerPeriod is the time between two looks of the balancer.
 	balancerPeriod = 250 * time.Millisecond
 )
@@ -84,6 +86,7 @@
 type world struct {
 	cfg   Config
 	book  *book
+	logs  *logs
 	store *site.Store
 	vms   []*vm
 	dir   string
@@ -100,7 +103,7 @@
 
 // Run plays a soak.
 func Run(cfg Config) (Report, error) {
-	w := &world{cfg: cfg, book: newBook(), begin: time.Now(), draw: rand.New(rand.NewPCG(cfg.Seed, 1))}
+	w := &world{cfg: cfg, book: newBook(), logs: &logs{out: cfg.Log, outcomes: make(map[string]outcome)}, begin: time.Now(), draw: rand.New(rand.NewPCG(cfg.Seed, 1))}
 	defer w.end()
 	if err := w.start(); err != nil {
 		return Report{}, err
@@ -117,6 +120,7 @@
 	cancel()
 	wg.Wait()
 	w.book.checkBudget()
+	w.checkLogs()
 	if !recovered {
 		w.book.fault("not recovered: a VM does not serve whole answers %v after the last fault", w.limit(recoveryTime))
 	}
@@ -125,6 +129,24 @@
 	return r, nil
 }
 
+// checkLogs waits until the logs explain each request that was refused or failed.
+func (w *world) checkLogs() {
+	end := time.Now().Add(w.limit(logTime))
+	for {
+		list := w.book.unexplained(w.logs)
+		if len(list) == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			for _, text := range list {
+				w.book.fault("%s", text)
+			}
+			return
+		}
+		time.Sleep(recoveryPoll)
+	}
+}
+
 // limit is the time for what is promised within a given one.
 func (w *world) limit(promised time.Duration) time.Duration {
 	if w.cfg.Strict {
@@ -160,7 +182,7 @@
 		v := &vm{SiteVM: fleet.NewSiteVM(i, dataCentres[i%len(dataCentres)], p.addr()), store: p}
 		v.id = v.ID
 		w.vms = append(w.vms, v)
-		if err := v.Start(w.cfg.Bin, w.dir, w.cfg.Log); err != nil {
+		if err := v.Start(w.cfg.Bin, w.dir, w.logs.process()); err != nil {
 			return err
 		}
 	}
