After a restart the budget is not blocked for ten seconds

At first it knows of three VMs, so its share is 43 extra sends for each shard, and 2 once it knows of 67: 41 too many are taken for spent, and no part is tried again for ten seconds. A request with two lost parts then fails. Now nothing is booked: within a window of a start only a fifth of the slack is used (with the three quarters of before that is within the rule), and none in the first two seconds.

--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -48,6 +48,11 @@
 	// slackShare is the part of the slack of the retry budget that is used. The rest covers
 	// VMs that have just started or have not heard of each other.
 	slackShare = 0.75
+	// restartShare is the part that is used besides within a RetryWindow of a start that is not the
+	// first one.
+	restartShare = 0.2
+	// alone is the time after a start until which a VM may not have heard of all the others.
+	alone = 2 * time.Second
 	// ratioShare is the part of the ratio of the retry budget that is used.
 	ratioShare = 0.95
 	// connShare is the part of a replica's connections that the VMs share.
@@ -75,6 +80,7 @@
 	metrics *metrics
 	// log and routine are those of the Config.
 	log, routine *logrus.Logger
+	started      time.Time
 
 	mu      sync.Mutex
 	budgets map[string]*budgeter.Window
@@ -84,11 +90,13 @@
 
 // New returns a Forwarder.
 func New(cfg Config, beliefs Beliefs, backend Backend) *Forwarder {
+	now := time.Now()
 	return &Forwarder{
 		cfg:     cfg,
 		beliefs: beliefs,
 		backend: backend,
-		ranks:   ranker.Ranker{Shared: cfg.Shared, SharedFrom: time.Now().Add(youth)},
+		ranks:   ranker.Ranker{Shared: cfg.Shared, SharedFrom: now.Add(youth)},
+		started: now,
 		metrics: newMetrics(),
 		log:     cfg.Log,
 		routine: cfg.Routine,
@@ -166,22 +174,31 @@
 
 // budget returns the budget of extra sends to a service.
 func (f *Forwarder) budget(service string, vms int, now time.Time) *budgeter.Window {
-	slack := slackShare * f.cfg.RetrySlack / float64(max(vms, 1))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b := f.budgets[service]
 	if b == nil {
 		b = &budgeter.Window{Ratio: ratioShare * f.cfg.RetryRatio, Length: f.cfg.RetryWindow}
-		if !f.cfg.FirstStart {
-			// The process before this one may have spent its slack a moment ago.
-			b.Spend(slack, now)
-		}
 		f.budgets[service] = b
 	}
-	b.SetSlack(slack)
+	b.SetSlack(f.slackNow(now) * f.cfg.RetrySlack / float64(max(vms, 1)))
 	return b
 }
 
+// slackNow is the part of the slack of the retry budget that all VMs together use. The process
+// before this one may have spent its part a moment ago; then only what others leave is used, and
+// nothing while this VM has not heard of all the others.
+func (f *Forwarder) slackNow(now time.Time) float64 {
+	age := now.Sub(f.started)
+	switch {
+	case f.cfg.FirstStart || age >= f.cfg.RetryWindow:
+		return slackShare
+	case age < alone:
+		return 0
+	}
+	return restartShare
+}
+
 // conns is the number of connections that this VM may hold to a replica of a service.
 func conns(s *State, service string) int {
 	most := s.Table.Config.Services[service].MaxConns
