--- a/services/forwarder/chronicle.go
+++ b/services/forwarder/chronicle.go
@@ -22,6 +22,7 @@
 	outcomeNoRoute    = "no-route"
 	outcomeNoConfig   = "no-configuration"
 	outcomeBarred     = "crashes-replicas"
+	outcomeStopping   = "stopping"
 )
 
 // record counts the end of a request and writes its line. Plain answers go to the log whose
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -243,9 +243,9 @@
 	return best, expect
 }
 
-// Refuse is the answer to a request that was not looked at.
-func Refuse() Answer {
-	return notRun(unknownRetry)
+// Refuse is the answer to a request that comes as the VM leaves.
+func (f *Forwarder) Refuse(r *Request) Answer {
+	return f.recorded(nil, r, notRun(unknownRetry), outcomeStopping)
 }
 
 // Forget drops the evidence about replicas that were not used since before.
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -296,7 +296,7 @@
 // Serve implements requester.Handler.
 func (d *Daemon) Serve(ctx context.Context, r *forwarder.Request) forwarder.Answer {
 	if d.closing.Load() {
-		return forwarder.Refuse()
+		return d.forward.Refuse(r)
 	}
 	return d.forward.Serve(ctx, r)
 }
--- a/services/launcher/launcher_test.go
+++ b/services/launcher/launcher_test.go
@@ -244,6 +244,16 @@
 	w.ended <- nil
 }
 
+// TestRefusalAsTheVMLeaves: what is refused in a stopping VM's last second has its line as well.
+func TestRefusalAsTheVMLeaves(t *testing.T) {
+	w := start(t)
+	w.d.closing.Store(true)
+	resp, _ := w.ask("r-1", "/write/x")
+	w.is.Equal(resp.StatusCode, 503)
+	w.until(func() bool { return w.log.line("r-1") != nil })
+	w.is.Equal(w.log.line("r-1")["outcome"], "stopping")
+}
+
 // stuck is an output that takes nothing until it is freed.
 type stuck chan struct{}
 
