Times that pass are not read from the time of day

Ruled out: leases and ages of beliefs (time.Time with its steady part throughout), entries of replicas (time left, turned into a time on arrival). Test: TestTimeOfDayJumps, failing before in both directions.

--- /dev/null
+++ b/modules/budgeter/step_test.go
@@ -0,0 +1,25 @@
+package budgeter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/ebonylock/ebonylock/tests/stepper"
+)
+
+// TestTimeOfDayJumps is the pattern of a clock that is set while the budget is in use: what was spent
+// stays spent for its span, no less and no longer.
+func TestTimeOfDayJumps(t *testing.T) {
+	for _, d := range []time.Duration{time.Hour, -time.Hour} {
+		is := is.New(t)
+		w := &Window{Length: 10 * time.Second}
+		w.SetSlack(2)
+		now := time.Now()
+		is.True(w.Withdraw(now))
+		is.True(w.Withdraw(now))
+		is.True(!w.Withdraw(stepper.Step(now.Add(time.Second), d)))
+		is.True(w.Withdraw(stepper.Step(now.Add(11*time.Second), d)))
+	}
+}
--- a/modules/budgeter/window.go
+++ b/modules/budgeter/window.go
@@ -19,8 +19,10 @@
 	mu sync.Mutex
 	// slack is the number of extra tries in any span besides those of the ratio.
 	slack float64
-	// steps are those of the present span, the one of the time at last.
+	// steps are those of the present span; at is the number of the last one, counted from began. It
+	// never falls, also when the time of day does.
 	steps [windowSteps + 1]step
+	began time.Time
 	at    int64
 	// first and extra are the sums over steps.
 	first, extra float64
@@ -38,8 +40,11 @@
 	if length == 0 {
 		length = defaultLength
 	}
-	at := now.UnixNano() / int64(length/windowSteps)
-	if w.at == 0 || at-w.at > windowSteps {
+	if w.began.IsZero() {
+		w.began = now
+	}
+	at := int64(now.Sub(w.began) / (length / windowSteps))
+	if at-w.at > windowSteps {
 		w.steps, w.first, w.extra, w.at = [windowSteps + 1]step{}, 0, 0, at
 	}
 	for w.at < at {
--- a/services/linker/linker.go
+++ b/services/linker/linker.go
@@ -227,6 +227,8 @@
 	if err != nil {
 		return err
 	}
+	// The other VM's clock says nothing here.
+	loss.At = time.Now()
 	l.handler.Lost(loss)
 	return writeFrame(stream, frameEnd, nil)
 }
--- a/services/relayer/relayer.go
+++ b/services/relayer/relayer.go
@@ -148,6 +148,8 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
+	// The other VM's clock says nothing here.
+	l.At = time.Now()
 	if s.OnLoss != nil {
 		s.OnLoss(l)
 	}
