Membership probes stay in the own data centre

Now a round probes all members of the own data centre, one of another for each eight, and eight of others at least. Ruled out: no probes across at all (a data centre cut off would never be found out). Test: TestProbesStayNear (three data centres of 30; one goes dark).

--- a/modules/prober/prober.go
+++ b/modules/prober/prober.go
@@ -138,6 +138,10 @@
 )
 
 const (
+	// nearPerFar is the number of probes within the data centre for each one beyond it, and leastFar
+	// the least number of the latter in a round.
+	nearPerFar = 8
+	leastFar   = 8
 	// indirectProbes is the number of members asked to probe another one.
 	indirectProbes = 3
 	// updatesPerPacket keeps a datagram below the smallest common MTU.
@@ -192,7 +196,7 @@
 	self     Member
 	revision uint64
 	members  map[string]*entry
-	// order is a random permutation of the members to probe; next is the place in it.
+	// order is a random permutation of the members to probe in this round; next is the place in it.
 	order  []string
 	next   int
 	probes map[uint64]probe
@@ -332,8 +336,7 @@
 			ids = append(ids, id)
 		}
 	}
-	slices.Sort(ids)
-	p.rnd.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	p.mix(ids)
 	return ids[:min(n, len(ids))]
 }
 
@@ -374,16 +377,29 @@
 	return nil
 }
 
+// shuffle begins a round of probes: all members of the own data centre, and some of the others, as
+// bytes between data centres are dear.
 func (p *Prober) shuffle() {
-	p.order = p.order[:0]
-	for id := range p.members {
-		p.order = append(p.order, id)
+	var near, far []string
+	for id, e := range p.members {
+		if e.DataCentre == p.self.DataCentre {
+			near = append(near, id)
+		} else {
+			far = append(far, id)
+		}
 	}
-	slices.Sort(p.order)
-	p.rnd.Shuffle(len(p.order), func(i, j int) { p.order[i], p.order[j] = p.order[j], p.order[i] })
+	p.mix(far)
+	p.order = append(near, far[:min(len(far), max(len(near)/nearPerFar, leastFar))]...)
+	p.mix(p.order)
 	p.next = 0
 }
 
+// mix puts members into an order that depends on the source of randomness alone.
+func (p *Prober) mix(ids []string) {
+	slices.Sort(ids)
+	p.rnd.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+}
+
 func (p *Prober) ping(now time.Time, e *entry) Out {
 	p.seq++
 	p.probes[p.seq] = probe{target: e.ID, sent: now}
--- a/modules/prober/prober_test.go
+++ b/modules/prober/prober_test.go
@@ -25,6 +25,8 @@
 	frozen map[int]bool
 	queue  []delivery
 	sent   int
+	// far counts the packets between data centres.
+	far int
 }
 
 type delivery struct {
@@ -57,6 +59,9 @@
 func (w *network) send(from netip.AddrPort, out []Out) {
 	for _, o := range out {
 		w.sent++
+		if w.dataCentre(from) != w.dataCentre(o.To) {
+			w.far++
+		}
 		if w.rnd.Float64() < w.loss {
 			continue
 		}
@@ -64,6 +69,19 @@
 	}
 }
 
+func (w *network) dataCentre(a netip.AddrPort) string {
+	return w.members[int(a.Addr().As4()[2])<<8|int(a.Addr().As4()[3])].self.DataCentre
+}
+
+// newRegions is newNetwork with the members in several data centres by turns.
+func newRegions(n, dataCentres int, seed uint64) *network {
+	w := newNetwork(n, seed)
+	for i, p := range w.members {
+		p.self.DataCentre = fmt.Sprint("dc-", i%dataCentres)
+	}
+	return w
+}
+
 func (w *network) run(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
 		due := w.queue
@@ -249,3 +267,27 @@
 		}
 	})
 }
+
+// TestProbesStayNear is the pattern of a large fleet in several data centres, between which bytes are
+// dear: most packets stay within them, and a data centre that goes dark is still found out.
+func TestProbesStayNear(t *testing.T) {
+	is := is.New(t)
+	const n, dataCentres = 90, 3
+	w := newRegions(n, dataCentres, 5)
+	w.run(20 * time.Second)
+	for i := range n {
+		is.Equal(w.states(i)[Alive], n)
+	}
+	w.sent, w.far = 0, 0
+	w.run(10 * time.Second)
+	is.True(w.far*3 < w.sent) // chance would be two thirds
+	for i := 0; i < n; i += dataCentres {
+		w.frozen[i] = true
+	}
+	w.run(12 * time.Second)
+	for i := range n {
+		if !w.frozen[i] {
+			is.Equal(w.states(i)[Dead], n/dataCentres)
+		}
+	}
+}
