In a large fleet two VMs of each data centre follow the readers, and the others follow these

Two in each data centre do now; above 40 VMs. Ruled out: fewer questions (they bound the age of a copy).

--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -178,7 +178,7 @@
 	d.relay.OnLoss = func(l quarantiner.Loss) { d.losses.Report(l) }
 	d.evidence.OnChange = d.judged
 	d.relay.Evidence = &d.evidence
-	d.guide = guide{self: d.site.VM.ID, store: store.New(d.site.Store), keys: relayKeys, evidence: &d.evidence, log: d.log}
+	d.guide = guide{self: d.site.VM.ID, dataCentre: d.site.VM.DataCentre, store: store.New(d.site.Store), keys: relayKeys, evidence: &d.evidence, log: d.log}
 	self := prober.Member{
 		ID:          d.site.VM.ID,
 		DataCentre:  d.site.VM.DataCentre,
--- a/services/launcher/sources.go
+++ b/services/launcher/sources.go
@@ -24,6 +24,11 @@
 	// reserves is the number of VMs that read it as soon as all readers are stale. The other
 	// VMs follow the reserves then, and read it themselves only if that fails.
 	reserves = 2
+	// hubs is the number of VMs of each data centre that follow the readers, in a fleet of more than
+	// hubsFrom VMs; the other VMs of the data centre follow these, as bytes between data centres are
+	// dear.
+	hubs     = 2
+	hubsFrom = 40
 	// readerRetry and othersRetry are the pauses of readers and reserves, and of other VMs,
 	// after the store failed.
 	readerRetry = 500 * time.Millisecond
@@ -34,7 +39,8 @@
 
 // guide chooses whom this VM follows. It implements follower.Guide.
 type guide struct {
-	self  string
+	self, dataCentre string
+
 	store replicator.Source
 	keys  [][]byte
 	// evidence is told to the VMs that are followed, and learnt from them.
@@ -119,18 +125,17 @@
 func (g *guide) Sources(lane int) []follower.Named {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	place := len(g.ranked)
-	var out []follower.Named
-	for i, m := range g.ranked[:min(readers+reserves, len(g.ranked))] {
-		if m.ID == g.self {
-			place = i
-			continue
-		}
-		if s, ok := g.relay(m); ok {
-			out = append(out, s)
-		}
+	place := slices.IndexFunc(g.ranked, func(m prober.Member) bool { return m.ID == g.self })
+	if place < 0 {
+		place = len(g.ranked)
 	}
+	out := g.sources(g.ranked[:min(readers+reserves, len(g.ranked))])
 	store := follower.Named{Name: "store", Store: true, Avoid: readerRetry, Source: g.store}
+	if near := g.sources(g.near()); place >= readers+reserves && len(near) > 0 {
+		out = append(near, slices.DeleteFunc(out, func(s follower.Named) bool {
+			return slices.ContainsFunc(near, func(n follower.Named) bool { return n.Name == s.Name })
+		})...)
+	}
 	switch {
 	case lane > 0:
 		if len(out) > 1 && place >= readers {
@@ -147,6 +152,45 @@
 	return append(out, store)
 }
 
+// near returns the hubs of the own data centre if this VM follows them; it needs the lock.
+func (g *guide) near() []prober.Member {
+	if len(g.ranked) <= hubsFrom {
+		return nil
+	}
+	var out []prober.Member
+	for _, m := range g.ranked {
+		if m.DataCentre != g.dataCentre || len(out) == hubs {
+			continue
+		}
+		if m.ID == g.self {
+			return nil
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// sources returns the clients of VMs, this one left out; it needs the lock.
+func (g *guide) sources(members []prober.Member) []follower.Named {
+	var out []follower.Named
+	for _, m := range members {
+		if m.ID == g.self {
+			continue
+		}
+		if s, ok := g.relay(m); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// leads reports whether this VM is the first reader of the store.
+func (g *guide) leads() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.ranked) > 0 && g.ranked[0].ID == g.self
+}
+
 // relay needs the lock.
 func (g *guide) relay(m prober.Member) (follower.Named, bool) {
 	c := g.relays[m.Link]
