In a large fleet a few VMs of each data centre gather for all

Now the VM that took a request divides its shards among the data centres that hold replicas, calls a VM with a fast link in each, and merges what they merged (docs/design/gatherers.md). Where each VM has two connections to a replica, as on all small sites, nothing hops. A refusal also tells when an outage may be over: as long again as it has lasted, within what callers heed. Ruled out: one gatherer for a request (four tenths of the shards have no replica near it), subsets of replicas for each VM (a fifteenth of them each), hedging the hop (sends to every shard again).

--- a/modules/ranker/ranker.go
+++ b/modules/ranker/ranker.go
@@ -108,6 +108,8 @@
 	Seen time.Time
 	// Running is the number of this VM's own runs under way.
 	Running int
+	// Replied is the time of its last reply; zero if it gave none.
+	Replied time.Time
 	// Suspect is true for a replica that gave a sign of death and no reply since.
 	Suspect bool
 	// Ejected is true while a suspect should get no work.
@@ -406,6 +408,7 @@
 	expected += failCost * max(e.failing(prior.halfLife(failHalfLife), now), verdict.Failing) * w.Target.Seconds()
 	out.Expected, out.Mean, out.Deviation = seconds(expected), seconds(mean), seconds(deviation)
 	out.Usual = seconds(prior.mean)
+	out.Replied = e.replied
 	out.Running, out.Suspect = len(e.starts), e.deaths > 0
 	// One run at a time tries whether a suspect is back.
 	out.Ejected = e.deaths > 0 && (now.Before(e.ejectedUntil) || len(e.starts) > 0)
--- a/services/forwarder/chronicle.go
+++ b/services/forwarder/chronicle.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,14 +47,52 @@
 	fields["route"], fields["version"] = fl.route.Name, fl.state.Table.Config.Version
 	fields["target-ms"], fields["used-ms"] = milliseconds(fl.route.Target), milliseconds(fl.used)
 	fields["beliefs-age-ms"] = milliseconds(now.Sub(f.beliefs.Fresh()))
+	if fl.spread != nil {
+		fl.spread.describe(fields, now)
+		f.end(fields, outcome == outcomeAnswered && !fl.spread.rerouted())
+		return
+	}
 	fields["parts"] = len(fl.parts)
 	missing, tries := fl.account(now)
+	plain := outcome == outcomeAnswered && len(tries) == 0
+	if !plain {
+		fields["missing"], fields["tries"], fields["budget"] = missing, tries, fl.parts[0].budget.Fullness(now)
+	}
+	f.end(fields, plain)
+}
+
+// end writes the line of a request.
+func (f *Forwarder) end(fields logrus.Fields, plain bool) {
+	log := f.log
+	if plain {
+		log = f.routine
+	}
+	log.WithFields(fields).Info("request ended")
+}
+
+// recordCall writes the line of what this VM has gathered for another one.
+func (f *Forwarder) recordCall(fl *flight) {
+	now := time.Now()
+	outcome := outcomeAnswered
+	switch {
+	case fl.callerLeft():
+		outcome = outcomeCallerLeft
+	case fl.whole < len(fl.parts):
+		outcome = outcomePartial
+	}
+	f.metrics.calls.WithLabelValues(outcome).Inc()
+	missing, tries := fl.account(now)
+	fields := logrus.Fields{
+		"event": "gathered", "id": fl.r.ID, "outcome": outcome, "route": fl.route.Name, "parts": len(fl.parts),
+		"took-ms": milliseconds(now.Sub(fl.r.Arrived)), "cutoff-ms": milliseconds(fl.leave.Sub(fl.r.Arrived)),
+		"beliefs-age-ms": milliseconds(now.Sub(f.beliefs.Fresh())),
+	}
 	if outcome == outcomeAnswered && len(tries) == 0 {
-		f.routine.WithFields(fields).Info("request ended")
+		f.routine.WithFields(fields).Info("parts gathered for another VM")
 		return
 	}
-	fields["missing"], fields["tries"], fields["budget"] = missing, tries, fl.parts[0].budget.Fullness(now)
-	f.log.WithFields(fields).Info("request ended")
+	fields["missing"], fields["tries"] = missing, tries
+	f.log.WithFields(fields).Info("parts gathered for another VM")
 }
 
 // kind is that of the request, for the metrics; fl is nil for one that met no route.
@@ -72,13 +111,7 @@
 func (fl *flight) account(now time.Time) (missing, tries []string) {
 	for _, p := range fl.parts {
 		if p.reply == nil {
-			reason := p.reason
-			switch {
-			case p.parked:
-				reason = reasonReserved
-			case !p.ended:
-				reason = reasonNoReply
-			}
+			reason := p.missing()
 			fl.f.metrics.missing.WithLabelValues(reason).Inc()
 			missing = append(missing, p.service+" "+reason)
 		}
@@ -92,6 +125,23 @@
 	return missing, tries
 }
 
+// missing is the reason why a part is not in.
+func (p *part) missing() string {
+	switch {
+	case p.parked:
+		return reasonReserved
+	case !p.ended:
+		return reasonNoReply
+	}
+	return p.reason
+}
+
+// distinct sorts a list and drops what it names twice.
+func distinct(list []string) []string {
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // describe gives a try as "service replica data-centre kind begin took end", times in
 // milliseconds since the request's arrival.
 func (t *try) describe(arrived, now time.Time) string {
--- a/services/forwarder/decider.go
+++ b/services/forwarder/decider.go
@@ -42,6 +42,7 @@
 	reasonTooSlow    = "too-slow"
 	reasonNoReply    = "no-reply-yet"
 	reasonMayHaveRun = "may-have-run"
+	reasonNoAnswer   = "no-answer-without-others"
 )
 
 // needed is the number of shards without which there is no answer: the least one whose share
@@ -73,7 +74,12 @@
 			late = append(late, p)
 		}
 	}
-	if gone+fl.need > len(fl.parts) {
+	if gone+fl.least > len(fl.parts) {
+		for _, p := range fl.parts {
+			if !p.ended {
+				fl.giveUp(p, reasonNoAnswer)
+			}
+		}
 		return
 	}
 	if gone+len(late)+fl.need <= len(fl.parts) {
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -73,6 +74,9 @@
 	deadline time.Time
 	// target is the time at which the caller should have the answer.
 	target time.Time
+	// leave is the time at which the parts at hand go to the VM that asked for them; zero where this
+	// VM answers the caller.
+	leave time.Time
 	// used is the part of the target latency that the caller's earlier attempts took.
 	used  time.Duration
 	parts []*part
@@ -80,14 +84,19 @@
 	// wait for the budget.
 	whole, ended, parked int
 	// need is the number of parts without which there is no answer, at least 1.
-	need  int
-	inbox inbox
+	need int
+	// least is the number of parts without which nothing is sent; need, or less where other VMs
+	// gather parts of the same answer.
+	least int
+	inbox *inbox[result]
 	// timer wakes the flight.
 	timer *time.Timer
 	// fingerprint identifies requests that are the same to a replica.
 	fingerprint quarantiner.Fingerprint
 	// proven is true once a reply has shown that the request is harmless.
 	proven bool
+	// spread is set when other VMs gather the parts.
+	spread *spread
 	// anyRan is true once any try ended that may have run.
 	anyRan bool
 	// answered is true once the answer is known, after which ctx tells nothing of the caller.
@@ -95,16 +104,17 @@
 }
 
 func (fl *flight) start(services []string, need int) {
-	fl.inbox.arrived = make(chan struct{}, 1)
-	fl.need = need
+	fl.inbox = newInbox[result]()
+	fl.need, fl.least = need, need
 	now := time.Now()
 	for _, s := range services {
+		share := fl.f.share(fl.state, s, len(fl.route.Shards) > 0)
 		p := &part{
 			service: s,
 			work:    ranker.Work{Service: s, Target: fl.route.Target},
-			budget:  fl.f.budget(s, fl.state.VMs, now),
+			budget:  fl.f.budget(s, share.slack, now),
 			list:    fl.state.View.Services[s],
-			conns:   conns(fl.state, s),
+			conns:   share.conns,
 			fragile: fl.state.Table.Config.Services[s].ColdPerSecond > 0,
 		}
 		p.budget.Deposit(1, now)
@@ -144,7 +154,7 @@
 
 // callerLeft reports whether the caller has gone before its answer was known.
 func (fl *flight) callerLeft() bool {
-	return !fl.answered.Load() && fl.ctx.Err() != nil
+	return !fl.answered.Load() && fl.ctx.Err() != nil && !errors.Is(context.Cause(fl.ctx), ErrEnough)
 }
 
 func cancelAll(open []Exchange) {
@@ -161,6 +171,9 @@
 
 // cutoff is the time at which an answer has to leave this VM to be there by the target.
 func (fl *flight) cutoff() time.Time {
+	if !fl.leave.IsZero() {
+		return fl.leave
+	}
 	return fl.target.Add(-fl.margin())
 }
 
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,10 +15,13 @@
 	"github.com/ebonylock/ebonylock/modules/ranker"
 	"github.com/ebonylock/ebonylock/modules/registrar"
 	"github.com/ebonylock/ebonylock/modules/router"
+	"github.com/ebonylock/ebonylock/modules/selector"
 )
 
 // Config sets up a Forwarder.
 type Config struct {
+	// VM is the ID of this VM.
+	VM string
 	// DataCentre is that of this VM.
 	DataCentre string
 	// RetryRatio is the number of extra sends that each request to a service pays for.
@@ -30,6 +34,8 @@
 	FirstStart bool
 	// CallerDelay is the time from a VM to a caller, one way.
 	CallerDelay time.Duration
+	// Gatherers gather parts for this VM; nil if it sends to all replicas itself.
+	Gatherers Gatherers
 	// Losses is told of requests that crash replicas; nil for none.
 	Losses Losses
 	// Shared is what other VMs have seen of replicas; nil for none.
@@ -45,6 +51,9 @@
 	defaultPatience = 10 * time.Second
 	// unknownRetry is the advice to come back when a configuration or replicas are missing.
 	unknownRetry = 250 * time.Millisecond
+	// retryShare is the part of its time left for which a caller heeds the advice to come back, by the
+	// platform's protocol.
+	retryShare = 1.0 / 3
 	// slackShare is the part of the slack of the retry budget that is used. The rest covers
 	// VMs that have just started or have not heard of each other.
 	slackShare = 0.75
@@ -67,6 +76,9 @@
 	// youth is the time after a start in which what other VMs have seen is left aside: when many
 	// start at once, it is the load of their own return.
 	youth = 10 * time.Second
+	// gathererShare is the part of connections and of extra sends that the gatherers share; the rest
+	// is for VMs that reach none.
+	gathererShare = 0.85
 	// noConn is added to the expectation of a replica to which no connection is free.
 	noConn = 5 * time.Second
 )
@@ -81,6 +93,9 @@
 	// log and routine are those of the Config.
 	log, routine *logrus.Logger
 	started      time.Time
+	// calls counts the calls of other VMs under way.
+	calls atomic.Int64
+	peers peers
 
 	mu      sync.Mutex
 	budgets map[string]*budgeter.Window
@@ -115,7 +130,7 @@
 	if m == nil {
 		return f.recorded(nil, r, Answer{Status: http.StatusNotFound}, outcomeNoRoute)
 	}
-	fp := quarantiner.Of(r.Method+" "+r.Host+r.Target, r.Body)
+	fp := fingerprint(r)
 	if f.barred(fp, r.Arrived) {
 		return f.recorded(nil, r, notRun(0), outcomeBarred)
 	}
@@ -136,10 +151,14 @@
 		fingerprint: fp,
 	}
 	var a Answer
-	if n := len(m.Shards); n > 0 {
-		a = fl.gather(m.Shards, needed(m.MinShare, n))
-	} else {
+	n := len(m.Shards)
+	switch sel := f.selection(state, m.Shards); {
+	case n == 0:
 		a = fl.single(m.Service())
+	case sel.Direct:
+		a = fl.gather(m.Shards, needed(m.MinShare, n))
+	default:
+		a = newSpread(fl, sel, needed(m.MinShare, n)).run()
 	}
 	return f.recorded(fl, r, a, fl.outcome(&a))
 }
@@ -172,8 +191,14 @@
 	return Answer{Status: http.StatusServiceUnavailable, RetryAfter: after}
 }
 
-// budget returns the budget of extra sends to a service.
-func (f *Forwarder) budget(service string, vms int, now time.Time) *budgeter.Window {
+// fingerprint identifies requests that are the same to a replica.
+func fingerprint(r *Request) quarantiner.Fingerprint {
+	return quarantiner.Of(r.Method+" "+r.Host+r.Target, r.Body)
+}
+
+// budget returns the budget of extra sends to a service; slack is this VM's share of what all VMs
+// have besides the ratio.
+func (f *Forwarder) budget(service string, slack float64, now time.Time) *budgeter.Window {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b := f.budgets[service]
@@ -181,7 +206,7 @@
 		b = &budgeter.Window{Ratio: ratioShare * f.cfg.RetryRatio, Length: f.cfg.RetryWindow}
 		f.budgets[service] = b
 	}
-	b.SetSlack(f.slackNow(now) * f.cfg.RetrySlack / float64(max(vms, 1)))
+	b.SetSlack(slack * f.slackNow(now) * f.cfg.RetrySlack)
 	return b
 }
 
@@ -199,13 +224,47 @@
 	return restartShare
 }
 
-// conns is the number of connections that this VM may hold to a replica of a service.
-func conns(s *State, service string) int {
+// selection returns the VMs that gather from the replicas of shards.
+func (f *Forwarder) selection(s *State, shards []string) *selector.Selection {
+	if f.cfg.Gatherers == nil || len(shards) == 0 {
+		return &selector.Selection{Direct: true}
+	}
+	most := s.Table.Config.Services[shards[0]].MaxConns
+	if most == 0 {
+		return &selector.Selection{Direct: true}
+	}
+	return f.cfg.Gatherers.Selection(int(connShare * float64(most)))
+}
+
+// share is this VM's part of what all VMs together may use of a service.
+type share struct {
+	// conns is the number of connections to each replica.
+	conns int
+	// slack is the share of the extra sends besides the ratio.
+	slack float64
+}
+
+// share returns this VM's part of a service; gathered is true if it is a shard.
+func (f *Forwarder) share(s *State, service string, gathered bool) share {
 	most := s.Table.Config.Services[service].MaxConns
+	vms := float64(max(s.VMs, 1))
 	if most == 0 {
-		return defaultConns
+		return share{conns: defaultConns, slack: 1 / vms}
+	}
+	sel := &selector.Selection{Direct: true}
+	if gathered {
+		sel = f.selection(s, []string{service})
+	}
+	usable := connShare * float64(most)
+	switch {
+	case sel.Direct:
+		return share{conns: max(int(usable/vms), 1), slack: 1 / vms}
+	case sel.Gathers(f.cfg.VM):
+		n := float64(sel.Total)
+		return share{conns: max(int(gathererShare*usable/n), 1), slack: gathererShare / n}
 	}
-	return max(int(connShare*float64(most)/float64(s.VMs)), 1)
+	// Only while no gatherer can be reached.
+	return share{conns: 1, slack: (1 - gathererShare) / vms}
 }
 
 // defaultConns is the number of connections to a replica whose service names no limit.
--- a/services/forwarder/forwarder_test.go
+++ b/services/forwarder/forwarder_test.go
@@ -303,6 +303,36 @@
 	})
 }
 
+// TestComeBackWhenTheOutageMayBeOver is the pattern of shards that are down for seconds before callers
+// who come back once: the longer it has lasted, the later they are told to come, within what they
+// heed.
+func TestComeBackWhenTheOutageMayBeOver(t *testing.T) {
+	down := false
+	run(t, true, func(c *registrar.Candidate) behaviour {
+		if down && (c.Service == "shard-3" || c.Service == "shard-4") {
+			return behaviour{after: time.Millisecond, err: ErrUnsent}
+		}
+		return served(7 * time.Millisecond)
+	}, func(is *is.I, f *Forwarder, b *fakeBackend) {
+		sweep(f)
+		b.mu.Lock()
+		down = true
+		b.mu.Unlock()
+		var last time.Duration
+		for range 60 {
+			a := f.Serve(context.Background(), request("/sweep/x", 3*time.Second))
+			if a.Status == http.StatusServiceUnavailable {
+				is.True(a.RetryAfter >= last/2 && a.RetryAfter >= unknownRetry)
+				last = a.RetryAfter
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(last, time.Second) // a third of three seconds
+		a := f.Serve(context.Background(), request("/sweep/x", 300*time.Millisecond))
+		is.Equal(a.RetryAfter, unknownRetry)
+	})
+}
+
 // TestDarkReplicaIsLeft is the pattern of a replica that goes dark as seen by one VM of a large
 // fleet, which has a request now and then, and whose listener ends a request's context with its
 // answer: the silence counts against the replica although the answer left without its part.
@@ -379,9 +409,9 @@
 func TestBudgetAfterARestart(t *testing.T) {
 	run(t, false, func(*registrar.Candidate) behaviour { return served(time.Millisecond) }, func(is *is.I, f *Forwarder, _ *fakeBackend) {
 		const fleet = 67
-		is.True(!f.budget("s", 3, time.Now()).Withdraw(time.Now()))
+		is.True(!f.budget("s", 1.0/3, time.Now()).Withdraw(time.Now()))
 		time.Sleep(3 * time.Second)
-		b := f.budget("s", fleet, time.Now())
+		b := f.budget("s", 1.0/fleet, time.Now())
 		b.Deposit(5, time.Now()) // two requests a second
 		is.True(b.Withdraw(time.Now()))
 		is.True(slackShare+restartShare <= 1)
@@ -425,7 +455,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	for i := range shards {
-		b := f.budget(fmt.Sprintf("shard-%d", i), 7, time.Now())
+		b := f.budget(fmt.Sprintf("shard-%d", i), 1.0/7, time.Now())
 		for b.Fullness(time.Now()) >= reserved/2 {
 			b.Spend(1, time.Now())
 		}
@@ -738,10 +768,11 @@
 func TestShareOfConnections(t *testing.T) {
 	is := is.New(t)
 	s := site(7)
-	is.Equal(conns(s, "shard-0"), 3) // 26 for 7 VMs
+	f := newForwarder(&fakeBackend{}, true)
+	is.Equal(f.share(s, "shard-0", true).conns, 3) // 26 for 7 VMs
 	s.VMs = 67
-	is.Equal(conns(s, "shard-0"), 1)
-	is.Equal(conns(s, "unknown"), defaultConns)
+	is.Equal(f.share(s, "shard-0", true).conns, 1)
+	is.Equal(f.share(s, "unknown", true).conns, defaultConns)
 }
 
 var _ Backend = (*fakeBackend)(nil)
--- /dev/null
+++ b/services/forwarder/inbox.go
@@ -0,0 +1,34 @@
+package forwarder
+
+import "sync"
+
+// inbox takes in results from any goroutine without blocking it.
+type inbox[T any] struct {
+	mu      sync.Mutex
+	results []T
+	// arrived has room for one value, which says that results is not empty.
+	arrived chan struct{}
+}
+
+func newInbox[T any]() *inbox[T] {
+	return &inbox[T]{arrived: make(chan struct{}, 1)}
+}
+
+func (i *inbox[T]) add(r T) {
+	i.mu.Lock()
+	i.results = append(i.results, r)
+	i.mu.Unlock()
+	select {
+	case i.arrived <- struct{}{}:
+	default:
+	}
+}
+
+// take returns what has come since the last call.
+func (i *inbox[T]) take() []T {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	out := i.results
+	i.results = nil
+	return out
+}
--- a/services/forwarder/metrics.go
+++ b/services/forwarder/metrics.go
@@ -14,6 +14,9 @@
 	sendsVec *prometheus.CounterVec
 	declined *prometheus.CounterVec
 	changes  *prometheus.CounterVec
+	// calls counts the calls of other VMs, hops those to other VMs.
+	calls, hops *prometheus.CounterVec
+	hopTime     prometheus.Histogram
 }
 
 // Kinds of sends, as indexes of sendKinds.
@@ -41,7 +44,13 @@
 		missing:  counter("parts_missing_total", "Shards left out of answers by reason.", "reason"),
 		sendsVec: counter("sends_total", "Sends to replicas: first, retry or hedge.", "kind"),
 		declined: counter("declined_total", "Further sends that were decided against, by reason.", "reason"),
-		changes:  counter("replica_changes_total", "Replicas left for signs of death, and taken back.", "change"),
+		calls:    counter("calls_total", "Calls of other VMs to gather parts, by outcome.", "outcome"),
+		hops:     counter("hops_total", "Calls to other VMs to gather parts, by their end.", "end"),
+		hopTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "ebonylock", Subsystem: "forward", Name: "hop_accepted_seconds",
+			Help: "Time until another VM has taken a call.", Buckets: latencyBuckets,
+		}),
+		changes: counter("replica_changes_total", "Replicas left for signs of death, and taken back.", "change"),
 	}
 	for i, kind := range sendKinds {
 		m.sends[i] = m.sendsVec.WithLabelValues(kind)
@@ -52,5 +61,5 @@
 // Register adds the forwarder's metrics to r.
 func (f *Forwarder) Register(r prometheus.Registerer) {
 	m := f.metrics
-	r.MustRegister(m.requests, m.latency, m.missing, m.sendsVec, m.declined, m.changes)
+	r.MustRegister(m.requests, m.latency, m.missing, m.sendsVec, m.declined, m.changes, m.calls, m.hops, m.hopTime)
 }
--- /dev/null
+++ b/services/forwarder/spread.go
@@ -0,0 +1,472 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/ebonylock/ebonylock/modules/merger"
+	"github.com/ebonylock/ebonylock/modules/selector"
+)
+
+const (
+	// maxHops is the number of VMs that are asked for one group of shards.
+	maxHops = 3
+	// hopMargin is the time for a partial answer at both ends of the way.
+	hopMargin = time.Millisecond
+)
+
+// Ends of hops, in logs and metrics.
+const (
+	hopWhole    = "whole"
+	hopPartly   = "partly"
+	hopEnough   = "answered-without"
+	hopNoAccept = "not-accepted"
+	hopRefused  = "refused"
+	hopLost     = "lost"
+)
+
+// spread is a gathered request whose parts other VMs gather, each those of the data centre that it
+// is in. It belongs to the goroutine that serves the request; hops report through the inbox.
+type spread struct {
+	fl   *flight
+	sel  *selector.Selection
+	need int
+	// stamps are the receipts by shard, empty for parts that are not in.
+	stamps []string
+	// whole counts the parts that are in, lost those that will not come.
+	whole, lost int
+	bodies      [][]byte
+	hops        []*hop
+	inbox       *inbox[hopEvent]
+	// ran is true if a replica may have run the request for a hop that has ended.
+	ran     bool
+	reasons []string
+	// comeBack is the time after which parts that are lost may come.
+	comeBack time.Duration
+}
+
+// hop is one call for a group of shards. It implements Sink.
+type hop struct {
+	sp *spread
+	to selector.VM
+	// local is true when this VM gathers itself.
+	local  bool
+	shards []int
+	began  time.Time
+	// acceptBy is the time after which another VM is asked.
+	acceptBy time.Time
+	accepted bool
+	// end says how the hop ended; nothing is taken from it afterwards.
+	end     string
+	took    time.Duration
+	ongoing Ongoing
+	// tried are the VMs that were asked for the same shards, this one included.
+	tried []string
+}
+
+type hopEvent struct {
+	hop      *hop
+	at       time.Time
+	accepted bool
+	partial  Partial
+	err      error
+}
+
+// Accepted implements Sink.
+func (h *hop) Accepted() {
+	h.sp.inbox.add(hopEvent{hop: h, at: time.Now(), accepted: true})
+}
+
+// Take implements Sink.
+func (h *hop) Take(p Partial) {
+	h.sp.inbox.add(hopEvent{hop: h, at: time.Now(), partial: p})
+}
+
+// Failed implements Sink.
+func (h *hop) Failed(err error) {
+	h.sp.inbox.add(hopEvent{hop: h, at: time.Now(), err: err})
+}
+
+// ender is an Ongoing of this VM.
+type ender context.CancelCauseFunc
+
+// End implements Ongoing.
+func (e ender) End(gone bool) {
+	if gone {
+		e(context.Canceled)
+	} else {
+		e(ErrEnough)
+	}
+}
+
+func newSpread(fl *flight, sel *selector.Selection, need int) *spread {
+	sp := &spread{fl: fl, sel: sel, need: need, stamps: make([]string, len(fl.route.Shards)), inbox: newInbox[hopEvent]()}
+	fl.spread = sp
+	return sp
+}
+
+// run answers the request.
+func (sp *spread) run() Answer {
+	fl := sp.fl
+	for _, g := range sp.groups() {
+		sp.ask(g.dataCentre, g.shards, nil, false)
+	}
+	defer sp.stop()
+	cutoff, last := fl.cutoff(), fl.deadline.Add(-fl.margin())
+	n := len(sp.stamps)
+	for {
+		now := time.Now()
+		switch {
+		case sp.whole >= sp.need && (sp.whole+sp.lost == n || !now.Before(cutoff)):
+			return sp.merge()
+		case n-sp.lost < sp.need:
+			return sp.failed(http.StatusBadGateway, max(sp.comeBack, unknownRetry))
+		case !now.Before(last):
+			return sp.failed(http.StatusGatewayTimeout, 0)
+		}
+		wake := last
+		if sp.whole >= sp.need && cutoff.Before(wake) {
+			wake = cutoff
+		}
+		if !sp.wait(wake) {
+			return Answer{}
+		}
+	}
+}
+
+// wait takes in what has come by wake, and asks other VMs where one has not taken its call. It
+// returns false when the caller has gone.
+func (sp *spread) wait(wake time.Time) bool {
+	for _, h := range sp.hops {
+		if h.waits() && h.acceptBy.Before(wake) {
+			wake = h.acceptBy
+		}
+	}
+	timer := time.NewTimer(time.Until(wake))
+	defer timer.Stop()
+	select {
+	case <-sp.inbox.arrived:
+		for _, e := range sp.inbox.take() {
+			sp.take(e)
+		}
+	case <-timer.C:
+	case <-sp.fl.ctx.Done():
+		return false
+	}
+	now := time.Now()
+	for _, h := range sp.hops {
+		if h.waits() && !now.Before(h.acceptBy) {
+			// It may run later, if the VM was only slow to say so.
+			sp.ran = true
+			h.ongoing.End(true)
+			sp.again(h, hopNoAccept, now)
+		}
+	}
+	return true
+}
+
+// waits reports whether the VM has not yet said that it has taken the call.
+func (h *hop) waits() bool {
+	return h.end == "" && !h.accepted
+}
+
+// group is the shards that the VMs of one data centre gather.
+type group struct {
+	dataCentre string
+	shards     []int
+}
+
+// groups shares the shards among the data centres that have replicas of them: the own one first,
+// then each time the one with most of those left. Shards without a replica are lost.
+func (sp *spread) groups() []group {
+	near := make(map[string][]int)
+	var left []int
+	for i, service := range sp.fl.route.Shards {
+		list := sp.fl.state.View.Services[service]
+		if len(list) == 0 {
+			sp.lost++
+			sp.reasons = append(sp.reasons, reasonNoReplica)
+			continue
+		}
+		left = append(left, i)
+		var seen []string
+		for _, c := range list {
+			if dc := c.DataCentre; !c.Fading && !slices.Contains(seen, dc) && sp.reachable(dc) {
+				seen = append(seen, dc)
+				near[dc] = append(near[dc], i)
+			}
+		}
+	}
+	var out []group
+	for dc := sp.fl.f.cfg.DataCentre; len(left) > 0; dc = sp.widest(near) {
+		taken := near[dc]
+		if len(taken) == 0 && len(near) == 0 {
+			// Their replicas are where no VM is reached: those of the own data centre send there.
+			return append(out, group{sp.fl.f.cfg.DataCentre, left})
+		}
+		delete(near, dc)
+		if len(taken) == 0 {
+			continue
+		}
+		out = append(out, group{dc, taken})
+		without := func(i int) bool { return slices.Contains(taken, i) }
+		left = slices.DeleteFunc(left, without)
+		for other, list := range near {
+			near[other] = slices.DeleteFunc(list, without)
+		}
+	}
+	return out
+}
+
+// widest returns the data centre with the most shards; the VM's own order decides between equal
+// ones, so that the load is shared.
+func (sp *spread) widest(near map[string][]int) string {
+	var vms []selector.VM
+	most := 0
+	for dc, list := range near {
+		if len(list) > most {
+			vms, most = nil, len(list)
+		}
+		if len(list) == most {
+			vms = append(vms, selector.VM{ID: dc})
+		}
+	}
+	if len(vms) == 0 {
+		return ""
+	}
+	return selector.Order(vms, sp.fl.f.cfg.VM)[0].ID
+}
+
+// reachable reports whether a data centre has a gatherer that is not in doubt.
+func (sp *spread) reachable(dataCentre string) bool {
+	now := time.Now()
+	return slices.ContainsFunc(sp.sel.ByDataCentre[dataCentre], func(v selector.VM) bool {
+		return v.ID == sp.fl.f.cfg.VM || !sp.fl.f.peers.doubted(v.ID, now)
+	})
+}
+
+// ask calls a VM for shards of one data centre; tried are those that were asked before. This VM
+// gathers itself if there is none left.
+func (sp *spread) ask(dataCentre string, shards []int, tried []string, again bool) {
+	f, now := sp.fl.f, time.Now()
+	to, ok := sp.choose(dataCentre, tried, now)
+	h := &hop{sp: sp, to: to, shards: shards, began: now, local: !ok || to.ID == f.cfg.VM}
+	if h.local {
+		h.to = selector.VM{ID: f.cfg.VM, DataCentre: f.cfg.DataCentre}
+	}
+	h.tried = append(slices.Clone(tried), h.to.ID)
+	sp.hops = append(sp.hops, h)
+	c := sp.call(h, again)
+	if h.local {
+		h.accepted = true
+		ctx, cancel := context.WithCancelCause(sp.fl.ctx)
+		h.ongoing = ender(cancel)
+		go f.collect(ctx, sp.fl.state, c, h.Take)
+		return
+	}
+	h.acceptBy = now.Add(f.peers.patience(to.ID))
+	h.ongoing = f.cfg.Gatherers.Gather(to, c, h)
+}
+
+// call makes the call of a hop.
+func (sp *spread) call(h *hop, again bool) *Call {
+	fl := sp.fl
+	names := make([]string, len(h.shards))
+	for i, s := range h.shards {
+		names[i] = fl.route.Shards[s]
+	}
+	way := hopMargin
+	if !h.local {
+		way += fl.f.peers.delay(h.to.ID) / 2
+	}
+	return &Call{
+		Request: fl.r, Route: fl.route.Name, Shards: names, Total: len(sp.stamps), Need: sp.need, Top: fl.route.Top,
+		Target: fl.route.Target, MaxAttempts: fl.route.MaxAttempts, Again: again,
+		Cutoff: fl.cutoff().Add(-way), Deadline: fl.deadline.Add(-fl.margin() - way),
+	}
+}
+
+// choose returns the VM to ask: one of the data centre, else of the own one, else any. ok is false
+// if there is none.
+func (sp *spread) choose(dataCentre string, tried []string, now time.Time) (to selector.VM, ok bool) {
+	f := sp.fl.f
+	if len(tried) >= maxHops {
+		return to, false
+	}
+	usable := func(v selector.VM) bool {
+		return !slices.Contains(tried, v.ID) && (v.ID == f.cfg.VM || !f.peers.doubted(v.ID, now))
+	}
+	var rest []selector.VM
+	for _, list := range sp.sel.ByDataCentre {
+		rest = append(rest, list...)
+	}
+	for _, list := range [][]selector.VM{sp.sel.ByDataCentre[dataCentre], sp.sel.ByDataCentre[f.cfg.DataCentre], rest} {
+		if i := slices.IndexFunc(list, func(v selector.VM) bool { return v.ID == f.cfg.VM }); i >= 0 && usable(list[i]) {
+			return list[i], true
+		}
+		list = selector.Order(list, f.cfg.VM)
+		if i := slices.IndexFunc(list, usable); i >= 0 {
+			return list[i], true
+		}
+	}
+	return to, false
+}
+
+// take takes in what a hop tells.
+func (sp *spread) take(e hopEvent) {
+	h, f := e.hop, sp.fl.f
+	switch {
+	case e.accepted && (h.end == "" || h.end == hopNoAccept):
+		h.accepted = true
+		f.peers.accepted(h.to.ID, e.at.Sub(h.began))
+		f.metrics.hopTime.Observe(e.at.Sub(h.began).Seconds())
+	case h.end != "", e.accepted:
+	case e.err != nil:
+		sp.lose(h, e.err, e.at)
+	case !sp.fits(h, e.partial):
+		h.ongoing.End(true)
+		sp.lose(h, ErrLost, e.at)
+	default:
+		sp.add(h, e.partial, e.at)
+	}
+}
+
+// lose takes in that no more comes from a hop.
+func (sp *spread) lose(h *hop, err error, at time.Time) {
+	end := hopLost
+	if errors.Is(err, ErrRefused) || errors.Is(err, ErrUnsent) {
+		end, h.accepted = hopRefused, false
+	}
+	sp.ran = sp.ran || h.accepted
+	sp.again(h, end, at)
+}
+
+// again ends a hop and asks another VM for the parts that it has not given.
+func (sp *spread) again(h *hop, end string, at time.Time) {
+	sp.finish(h, end, at)
+	sp.fl.f.peers.failed(h.to.ID, at)
+	var left []int
+	for _, s := range h.shards {
+		if sp.stamps[s] == "" {
+			left = append(left, s)
+		}
+	}
+	if len(left) > 0 {
+		sp.ask(h.to.DataCentre, left, h.tried, h.accepted)
+	}
+}
+
+// fits reports whether a partial answer belongs to a hop: no shard that was not asked for, none
+// twice, and a body of whole records.
+func (sp *spread) fits(h *hop, p Partial) bool {
+	seen := make(map[int]bool)
+	for _, r := range p.Receipts {
+		if r.Shard < 0 || r.Shard >= len(h.shards) || r.Stamp == "" || seen[r.Shard] || sp.stamps[h.shards[r.Shard]] != "" {
+			return false
+		}
+		seen[r.Shard] = true
+	}
+	return len(p.Body)%merger.RecordSize == 0 && (len(p.Body) == 0 || len(p.Receipts) > 0)
+}
+
+// add takes in parts.
+func (sp *spread) add(h *hop, p Partial, at time.Time) {
+	h.accepted = true
+	for _, r := range p.Receipts {
+		sp.stamps[h.shards[r.Shard]] = r.Stamp
+	}
+	sp.whole += len(p.Receipts)
+	if len(p.Body) > 0 {
+		sp.bodies = append(sp.bodies, p.Body)
+	}
+	if !p.Final {
+		return
+	}
+	missing := 0
+	for _, s := range h.shards {
+		if sp.stamps[s] == "" {
+			missing++
+		}
+	}
+	end := hopWhole
+	if missing > 0 {
+		end = hopPartly
+	}
+	sp.lost += missing
+	sp.ran = sp.ran || p.Ran || len(p.Receipts) > 0
+	sp.reasons = append(sp.reasons, p.Reasons...)
+	sp.comeBack = max(sp.comeBack, p.RetryAfter)
+	sp.finish(h, end, at)
+}
+
+func (sp *spread) finish(h *hop, end string, at time.Time) {
+	h.end, h.took = end, at.Sub(h.began)
+	sp.fl.f.metrics.hops.WithLabelValues(end).Inc()
+}
+
+// stop ends the hops that are still under way.
+func (sp *spread) stop() {
+	gone := sp.fl.callerLeft()
+	now := time.Now()
+	for _, h := range sp.hops {
+		if h.end == "" {
+			sp.finish(h, hopEnough, now)
+			h.ongoing.End(gone)
+		}
+	}
+}
+
+// merge is the answer with the parts that are in.
+func (sp *spread) merge() Answer {
+	a := Answer{Status: http.StatusOK, Gathered: true, Body: merger.Top(sp.bodies, sp.fl.route.Top)}
+	for _, s := range sp.stamps {
+		if s == "" {
+			a.Missing++
+			continue
+		}
+		a.Stamps = append(a.Stamps, s)
+	}
+	return a
+}
+
+// failed is the answer to a request that can't be served: the given status, or a refusal if
+// nothing has run.
+func (sp *spread) failed(status int, after time.Duration) Answer {
+	ran := sp.ran
+	for _, h := range sp.hops {
+		ran = ran || h.end == ""
+	}
+	if !ran {
+		return notRun(after)
+	}
+	return Answer{Status: status}
+}
+
+// rerouted reports whether more than one VM was asked for some shards, or parts are missing.
+func (sp *spread) rerouted() bool {
+	return slices.ContainsFunc(sp.hops, func(h *hop) bool { return len(h.tried) > 1 || h.end != hopWhole })
+}
+
+// describe adds the hops to the line of the request, each as "VM data-centre parts begin took end"
+// with times in milliseconds since the request's arrival.
+func (sp *spread) describe(fields logrus.Fields, now time.Time) {
+	hops := make([]string, len(sp.hops))
+	for i, h := range sp.hops {
+		end, took := h.end, h.took
+		if end == "" {
+			end, took = "under-way", now.Sub(h.began)
+		}
+		hops[i] = fmt.Sprintf("%s %s %d +%.1f %.1f %s", h.to.ID, h.to.DataCentre, len(h.shards),
+			milliseconds(h.began.Sub(sp.fl.r.Arrived)), milliseconds(took), end)
+	}
+	fields["parts"], fields["hops"] = len(sp.stamps), hops
+	if sp.whole < len(sp.stamps) {
+		fields["missing"], fields["reasons"] = len(sp.stamps)-sp.whole, distinct(sp.reasons)
+	}
+}
--- a/services/forwarder/try.go
+++ b/services/forwarder/try.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/ebonylock/ebonylock/modules/ranker"
@@ -34,33 +33,6 @@
 	at    time.Time
 }
 
-// inbox takes in the ends of tries from any goroutine.
-type inbox struct {
-	mu      sync.Mutex
-	results []result
-	// arrived has room for one value, which says that results is not empty.
-	arrived chan struct{}
-}
-
-func (i *inbox) add(r result) {
-	i.mu.Lock()
-	i.results = append(i.results, r)
-	i.mu.Unlock()
-	select {
-	case i.arrived <- struct{}{}:
-	default:
-	}
-}
-
-// take returns what has come since the last call.
-func (i *inbox) take() []result {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	out := i.results
-	i.results = nil
-	return out
-}
-
 // kind is one of the kinds of sends.
 func (t *try) kind() int {
 	switch {
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -19,6 +19,7 @@
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/reporter"
 	"github.com/ebonylock/ebonylock/modules/router"
+	"github.com/ebonylock/ebonylock/modules/selector"
 	"github.com/ebonylock/ebonylock/modules/spooler"
 	"github.com/ebonylock/ebonylock/platform/readier"
 	"github.com/ebonylock/ebonylock/platform/replica"
@@ -27,6 +28,7 @@
 	"github.com/ebonylock/ebonylock/routers/exposer"
 	"github.com/ebonylock/ebonylock/services/follower"
 	"github.com/ebonylock/ebonylock/services/forwarder"
+	"github.com/ebonylock/ebonylock/services/gatherer"
 	"github.com/ebonylock/ebonylock/services/gossiper"
 	"github.com/ebonylock/ebonylock/services/linker"
 	"github.com/ebonylock/ebonylock/services/relayer"
@@ -82,10 +84,15 @@
 	gossip   *gossiper.Gossiper
 	relay    *relayer.Server
 	guide    guide
+	// roster are the VMs that may gather, and gather makes calls to them.
+	roster selector.Roster
+	gather *gatherer.Client
 	// losses are the replicas that requests have crashed.
 	losses quarantiner.Register
 	// evidence is what all VMs have seen of replicas.
 	evidence reporter.Evidence
+	// counting is held while the VMs are counted.
+	counting sync.Mutex
 	stopping atomic.Bool
 	// closing is true once new requests are refused.
 	closing  atomic.Bool
@@ -101,7 +108,16 @@
 	routine.AddHook(named(site.VM.ID))
 	d.log = log
 	d.follow = follower.New(store.Decoder{}, log)
+	gatherKeys, err := derive(site.Peers.Keys, "gather")
+	if err != nil {
+		return nil, err
+	}
+	if d.gather, err = gatherer.NewClient(gatherKeys, &d.roster, relayer.DialStream); err != nil {
+		return nil, err
+	}
 	d.forward = forwarder.New(forwarder.Config{
+		VM:          site.VM.ID,
+		Gatherers:   d.gather,
 		DataCentre:  site.VM.DataCentre,
 		RetryRatio:  site.Bounds.RetryRatio,
 		RetrySlack:  site.Bounds.RetrySlack,
@@ -114,10 +130,13 @@
 		Shared:      &d.evidence,
 		Announce:    d.guide.announce,
 	}, d.follow, &d.backend)
-	if err := d.join(); err != nil {
+	calls, err := gatherer.NewServer(gatherKeys, d, log)
+	if err != nil {
+		return nil, err
+	}
+	if err := d.join(calls); err != nil {
 		return nil, err
 	}
-	var err error
 	if d.balancer, err = readier.Listen(site.Requests.Readiness, d.Ready); err != nil {
 		return nil, err
 	}
@@ -161,8 +180,8 @@
 	return reg
 }
 
-// join starts the membership between VMs.
-func (d *Daemon) join() error {
+// join starts the membership between VMs, and takes their calls.
+func (d *Daemon) join(calls *gatherer.Server) error {
 	incarnation := rand.Uint64()
 	keys, err := derive(d.site.Peers.Keys, "membership")
 	if err != nil {
@@ -175,6 +194,7 @@
 	if d.relay, err = relayer.Listen(d.site.Peers.Link, relayKeys, &d.follow.Copy); err != nil {
 		return err
 	}
+	d.relay.OnStream = calls.ServeConn
 	d.relay.OnLoss = func(l quarantiner.Loss) { d.losses.Report(l) }
 	d.evidence.OnChange = d.judged
 	d.relay.Evidence = &d.evidence
@@ -189,14 +209,17 @@
 		Epoch:       uint64(time.Now().UnixMilli()),
 	}
 	cfg := gossiper.Config{Bind: d.site.Peers.Gossip, Self: self, Keys: keys, Timing: timing, PauseAfter: fenceAfter, Tick: tick}
+	// The observer may be called before Start returns.
+	d.counting.Lock()
 	d.gossip, err = gossiper.Start(cfg, func(self prober.Member) *prober.Prober {
 		return prober.New(self, cfg.Timing, rand.New(rand.NewPCG(incarnation, self.Epoch)), time.Now())
 	}, d)
+	d.counting.Unlock()
 	if err != nil {
 		return err
 	}
 	d.setSeeds(d.site.Peers.Seeds)
-	d.follow.SetVMs(len(d.site.Peers.Seeds))
+	d.count()
 	return nil
 }
 
@@ -257,6 +280,13 @@
 	for _, c := range changes {
 		d.log.WithFields(logrus.Fields{"event": "vm", "id": c.Member.ID, "state": c.Member.State.String(), "before": c.Before.String()}).Info("belief about a VM changed")
 	}
+	d.count()
+}
+
+// count tells all parts of the VMs that there are.
+func (d *Daemon) count() {
+	d.counting.Lock()
+	defer d.counting.Unlock()
 	members := d.gossip.Members()
 	d.guide.update(members)
 	n := 0
@@ -266,7 +296,21 @@
 			n++
 		}
 	}
-	d.follow.SetVMs(max(n, len(d.site.Peers.Seeds)))
+	n = max(n, len(d.site.Peers.Seeds))
+	d.roster.Update(gatherers(members), n)
+	d.follow.SetVMs(n)
+}
+
+// gatherers returns the members that may gather parts. A VM in doubt stays among them, as others may
+// reach it; calls find out.
+func gatherers(members []prober.Member) []selector.VM {
+	var out []selector.VM
+	for _, m := range members {
+		if m.State <= prober.Suspect && !m.Draining {
+			out = append(out, selector.VM{ID: m.ID, DataCentre: m.DataCentre, Link: m.Link, Capacity: m.Capacity})
+		}
+	}
+	return out
 }
 
 // RevisionSeen implements gossiper.Observer.
@@ -301,6 +345,25 @@
 	return d.forward.Serve(ctx, r)
 }
 
+// Collect implements gatherer.Collector.
+func (d *Daemon) Collect(ctx context.Context, c *forwarder.Call, accept func(), emit func(forwarder.Partial)) error {
+	if d.closing.Load() {
+		return forwarder.ErrRefused
+	}
+	return d.forward.Collect(ctx, c, accept, emit)
+}
+
+// work is what callers and other VMs send.
+type work struct {
+	*requester.Listener
+	forward *forwarder.Forwarder
+}
+
+// InFlight implements traffic.
+func (w work) InFlight() int {
+	return w.Listener.InFlight() + w.forward.Calls()
+}
+
 // Stop begins the graceful shutdown.
 func (d *Daemon) Stop() {
 	d.stopOnce.Do(func() { close(d.stop) })
@@ -339,9 +402,10 @@
 func (d *Daemon) shutdown(ctx context.Context) {
 	began := time.Now()
 	d.stopping.Store(true)
+	d.gossip.Drain()
 	d.log.WithField("event", "stop").Info("graceful shutdown started")
 	stopper{
-		traffic: d.callers,
+		traffic: work{d.callers, d.forward},
 		grace:   d.site.Bounds.Grace,
 		refuse:  func() { d.closing.Store(true) },
 		leave: func() {
@@ -363,6 +427,7 @@
 			return
 		case now := <-ticker.C:
 			d.backend.Sweep(now)
+			d.gather.Sweep(now)
 			d.forward.Forget(now.Add(-forgetAfter))
 			dropped = d.reportDropped(dropped)
 		}
--- a/services/relayer/relayer.go
+++ b/services/relayer/relayer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -30,6 +31,8 @@
 	pathRead = "/relay/1"
 	// pathLoss is where a VM hears of replicas that requests have crashed.
 	pathLoss = "/losses/1"
+	// pathStream is where a VM takes over a connection for messages of another kind.
+	pathStream = "/stream/1"
 	// lossTimeout limits the telling of one.
 	lossTimeout = 500 * time.Millisecond
 	// maxWait bounds the time for which a question may wait.
@@ -51,6 +54,9 @@
 	// Evidence takes in what other VMs have seen of replicas, and judges; nil for none. It is set
 	// before Serve.
 	Evidence *reporter.Evidence
+	// OnStream takes over a connection that another VM opened with DialStream, and closes it; nil to
+	// refuse it. It is set before Serve.
+	OnStream func(c net.Conn)
 	source   replicator.Source
 	sealer   *sealer.Sealer
 	ln       net.Listener
@@ -101,6 +107,11 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
+	if path == pathStream && s.OnStream != nil {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(s.stream)
+		return
+	}
 	if path != pathRead && path != pathLoss {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
@@ -142,6 +153,27 @@
 	}
 }
 
+// stream hands over a connection without the deadlines of the HTTP server.
+func (s *Server) stream(c net.Conn) {
+	if err := c.SetDeadline(time.Time{}); err != nil {
+		return
+	}
+	s.OnStream(c)
+}
+
+// DialStream opens a connection to the VM whose Server is at addr, which its OnStream gets.
+func DialStream(addr netip.AddrPort, d *net.Dialer) (net.Conn, error) {
+	c, err := d.Dial("tcp4", addr.String())
+	if err != nil {
+		return nil, oops.Wrapf(err, "open a stream")
+	}
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", pathStream, addr); err != nil {
+		_ = c.Close()
+		return nil, oops.Wrapf(err, "open a stream")
+	}
+	return c, nil
+}
+
 func (s *Server) takeLoss(ctx *fasthttp.RequestCtx, plain []byte) {
 	l, err := linker.DecodeLoss(plain)
 	if err != nil {
