VMs that start learn the size of the fleet from the store; a slow gatherer counts as sent

Cause: a VM that starts knows its three seeds and so takes a third of each limit; when all 295 start again at once, each opened connections for a third of the fleet (replicas reset those over their cap) and sent to all replicas itself. The first reader of the store now keeps a record of the fleet there: size and fastest VMs of each data centre, one key, written under a condition when the fleet has been another for three seconds, ten seconds apart. A VM counts with it for its first ten seconds. Ruled out: waiting for the membership after a start (seconds without service), a file (no disk). Also: where a VM does not say in time that it has taken a call, the next one counts each part as sent before (one attempt left, drawn from the budget), as the first one may be only slow; and a call that was ended before a VM had time for it does not run there (TestSlowGathererCountsAsSent, TestEndedCallDoesNotRun). explain tells of the VMs that gathered.

--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,9 @@
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./platform/operator
 	$(GO) test -run '^$$' -fuzz FuzzReply -fuzztime $(FUZZTIME) ./platform/replica
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./modules/reporter
+	$(GO) test -run '^$$' -fuzz FuzzDecodeCall -fuzztime $(FUZZTIME) ./services/gatherer
+	$(GO) test -run '^$$' -fuzz FuzzDecodePartial -fuzztime $(FUZZTIME) ./services/gatherer
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./services/enroller
 	$(GO) test -run '^$$' -fuzz FuzzDecodeReply -fuzztime $(FUZZTIME) ./services/relayer
 
 clean:
--- a/cmd/ebonylock/explain.go
+++ b/cmd/ebonylock/explain.go
@@ -95,13 +95,17 @@
 	return out, oops.Wrapf(s.Err(), "read log %s", name)
 }
 
+// stories are the events that tell of a request: at the VM that took it, and at those that gathered
+// parts for that one.
+var stories = []string{"request", "gathered", "call-refused"}
+
 // explain writes the story of a request: its own lines, and before them the changes of belief of
 // the same VM about the services, replicas and the configuration that it met.
 func explain(w io.Writer, id string, lines []logLine) error {
 	slices.SortStableFunc(lines, func(a, b logLine) int { return a.at.Compare(b.at) })
 	found := false
 	for _, l := range lines {
-		if l.text("id") != id || l.text("event") != "request" {
+		if l.text("id") != id || !slices.Contains(stories, l.text("event")) {
 			continue
 		}
 		found = true
@@ -145,12 +149,18 @@
 }
 
 func tell(w io.Writer, l logLine) error {
-	out := fmt.Sprintf("%s  %s: request %s ended: %s, status %s, after %s ms of %s ms (target %s ms, of which %s ms were gone)\n",
-		l.text("vm"), l.at.Format("15:04:05.000"), l.text("id"), l.text("outcome"), l.text("status"),
-		l.text("took-ms"), l.text("patience-ms"), cmp.Or(l.text("target-ms"), "-"), cmp.Or(l.text("used-ms"), "-"))
-	out += fmt.Sprintf("    route %s, configuration %s, beliefs %s ms old, %s parts, budget %s\n",
-		cmp.Or(l.text("route"), "-"), cmp.Or(l.text("version"), "-"), cmp.Or(l.text("beliefs-age-ms"), "-"), cmp.Or(l.text("parts"), "-"), cmp.Or(l.text("budget"), "-"))
-	for _, name := range []string{"missing", "tries"} {
+	out := ""
+	switch l.text("event") {
+	case "gathered":
+		out = fmt.Sprintf("%s  %s: gathered %s parts of request %s for another VM: %s, after %s ms (cutoff %s ms)\n",
+			l.text("vm"), l.at.Format(clockFormat), l.text("parts"), l.text("id"), l.text("outcome"), l.text("took-ms"), l.text("cutoff-ms"))
+	case "call-refused":
+		out = fmt.Sprintf("%s  %s: refused to gather parts of request %s: %s calls under way, configured %s\n",
+			l.text("vm"), l.at.Format(clockFormat), l.text("id"), l.text("calls"), l.text("configured"))
+	default:
+		out = tellRequest(l)
+	}
+	for _, name := range []string{"missing", "reasons", "hops", "tries"} {
 		list, _ := l.fields[name].([]any)
 		for _, v := range list {
 			out += fmt.Sprintf("    %s: %v\n", name, v)
@@ -159,3 +169,14 @@
 	_, err := io.WriteString(w, out)
 	return oops.Wrap(err)
 }
+
+// clockFormat is how times of lines are written.
+const clockFormat = "15:04:05.000"
+
+func tellRequest(l logLine) string {
+	out := fmt.Sprintf("%s  %s: request %s ended: %s, status %s, after %s ms of %s ms (target %s ms, of which %s ms were gone)\n",
+		l.text("vm"), l.at.Format(clockFormat), l.text("id"), l.text("outcome"), l.text("status"),
+		l.text("took-ms"), l.text("patience-ms"), cmp.Or(l.text("target-ms"), "-"), cmp.Or(l.text("used-ms"), "-"))
+	return out + fmt.Sprintf("    route %s, configuration %s, beliefs %s ms old, %s parts, budget %s\n",
+		cmp.Or(l.text("route"), "-"), cmp.Or(l.text("version"), "-"), cmp.Or(l.text("beliefs-age-ms"), "-"), cmp.Or(l.text("parts"), "-"), cmp.Or(l.text("budget"), "-"))
+}
--- a/modules/prober/codec.go
+++ b/modules/prober/codec.go
@@ -45,12 +45,13 @@
 	b = encoder.AppendVarint(b, fieldSent, uint64(in.Sent.UnixMicro()))
 	b = encoder.AppendVarint(b, fieldLogical, uint64(in.Logical))
 	for _, m := range in.Updates {
-		b = encoder.AppendBytes(b, fieldUpdate, m.appendTo(nil))
+		b = encoder.AppendBytes(b, fieldUpdate, m.Append(nil))
 	}
 	return b
 }
 
-func (m Member) appendTo(b []byte) []byte {
+// Append appends the encoded member to b.
+func (m Member) Append(b []byte) []byte {
 	b = encoder.AppendBytes(b, fieldID, []byte(m.ID))
 	b = encoder.AppendBytes(b, fieldDataCentre, []byte(m.DataCentre))
 	b = encoder.AppendAddr(b, fieldGossip, m.Gossip)
@@ -87,7 +88,7 @@
 		case fieldLogical:
 			out.Logical = uint32(v)
 		case fieldUpdate:
-			m, err := decodeMember(raw)
+			m, err := DecodeMember(raw)
 			out.Updates = append(out.Updates, m)
 			if len(out.Updates) > maxUpdates {
 				return encoder.ErrMalformed
@@ -102,7 +103,8 @@
 	return out, err
 }
 
-func decodeMember(b []byte) (Member, error) {
+// DecodeMember reads what Append wrote. Errors match encoder.ErrMalformed.
+func DecodeMember(b []byte) (Member, error) {
 	var m Member
 	err := encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) error {
 		switch num {
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -30,6 +30,8 @@
 	Evacuation
 	// Replica is the entry of a backend server.
 	Replica
+	// Fleet is the record of the VMs.
+	Fleet
 )
 
 // Decoder reads the store's keys and values.
@@ -49,6 +51,9 @@
 	log     *logrus.Logger
 	// Copy is the copy of the store that others may follow.
 	Copy replicator.Copy
+	// OnFleet takes in the record of the VMs; nil for none. It is set before use and must not call
+	// the Follower.
+	OnFleet func(value []byte, revision uint64)
 
 	reads *prometheus.CounterVec
 	state atomic.Pointer[forwarder.State]
@@ -121,6 +126,10 @@
 		f.log.WithFields(logrus.Fields{"event": "evacuation", "data-centre": name, "out": !it.Removed, "revision": it.Revision}).Info("data centre taken out or back")
 	case Replica:
 		f.takeReplica(name, it, now)
+	case Fleet:
+		if f.OnFleet != nil && !it.Removed {
+			f.OnFleet(it.Value, it.Revision)
+		}
 	case Other:
 	}
 }
--- a/services/forwarder/call.go
+++ b/services/forwarder/call.go
@@ -100,6 +100,11 @@
 // match ErrRefused; nothing runs then.
 func (f *Forwarder) Collect(ctx context.Context, c *Call, accept func(), emit func(Partial)) error {
 	state := f.beliefs.State()
+	if ctx.Err() != nil {
+		// It was ended while this VM had no time to take it; another VM has it now.
+		f.metrics.calls.WithLabelValues(outcomeCallerLeft).Inc()
+		return ErrRefused
+	}
 	defer f.calls.Add(-1)
 	if f.calls.Add(1) > maxCalls || state == nil {
 		f.metrics.calls.WithLabelValues(outcomeRefused).Inc()
--- a/services/forwarder/spread.go
+++ b/services/forwarder/spread.go
@@ -62,6 +62,8 @@
 	// acceptBy is the time after which another VM is asked.
 	acceptBy time.Time
 	accepted bool
+	// again is true when replicas may have run the request for the same shards before.
+	again bool
 	// end says how the hop ended; nothing is taken from it afterwards.
 	end     string
 	took    time.Duration
@@ -162,10 +164,10 @@
 	now := time.Now()
 	for _, h := range sp.hops {
 		if h.waits() && !now.Before(h.acceptBy) {
-			// It may run later, if the VM was only slow to say so.
+			// It may run, if the VM was only slow to say so.
 			sp.ran = true
 			h.ongoing.End(true)
-			sp.again(h, hopNoAccept, now)
+			sp.again(h, hopNoAccept, true, now)
 		}
 	}
 	return true
@@ -256,7 +258,7 @@
 func (sp *spread) ask(dataCentre string, shards []int, tried []string, again bool) {
 	f, now := sp.fl.f, time.Now()
 	to, ok := sp.choose(dataCentre, tried, now)
-	h := &hop{sp: sp, to: to, shards: shards, began: now, local: !ok || to.ID == f.cfg.VM}
+	h := &hop{sp: sp, to: to, shards: shards, began: now, again: again, local: !ok || to.ID == f.cfg.VM}
 	if h.local {
 		h.to = selector.VM{ID: f.cfg.VM, DataCentre: f.cfg.DataCentre}
 	}
@@ -344,11 +346,12 @@
 		end, h.accepted = hopRefused, false
 	}
 	sp.ran = sp.ran || h.accepted
-	sp.again(h, end, at)
+	sp.again(h, end, h.accepted, at)
 }
 
-// again ends a hop and asks another VM for the parts that it has not given.
-func (sp *spread) again(h *hop, end string, at time.Time) {
+// again ends a hop and asks another VM for the parts that it has not given; ran is true if replicas
+// may have run the request for it.
+func (sp *spread) again(h *hop, end string, ran bool, at time.Time) {
 	sp.finish(h, end, at)
 	sp.fl.f.peers.failed(h.to.ID, at)
 	var left []int
@@ -358,7 +361,7 @@
 		}
 	}
 	if len(left) > 0 {
-		sp.ask(h.to.DataCentre, left, h.tried, h.accepted)
+		sp.ask(h.to.DataCentre, left, h.tried, ran || h.again)
 	}
 }
 
@@ -467,6 +470,12 @@
 	}
 	fields["parts"], fields["hops"] = len(sp.stamps), hops
 	if sp.whole < len(sp.stamps) {
-		fields["missing"], fields["reasons"] = len(sp.stamps)-sp.whole, distinct(sp.reasons)
+		var missing []string
+		for i, s := range sp.stamps {
+			if s == "" {
+				missing = append(missing, sp.fl.route.Shards[i])
+			}
+		}
+		fields["missing"], fields["reasons"] = missing, distinct(sp.reasons)
 	}
 }
--- a/services/forwarder/spread_test.go
+++ b/services/forwarder/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -92,6 +93,9 @@
 	case lies:
 		accept()
 		emit(Partial{Receipts: []Receipt{{Shard: len(c.Shards), Stamp: "x"}}, Body: make([]byte, 16), Final: true})
+	case slowToAccept:
+		time.Sleep(40 * time.Millisecond)
+		_ = f.byID[to.ID].Collect(ctx, c, accept, emit)
 	case works:
 		_ = f.byID[to.ID].Collect(ctx, c, accept, emit)
 	}
@@ -225,6 +229,45 @@
 	}
 }
 
+// slowToAccept is a VM that takes calls so late that others have been asked.
+const slowToAccept = works + 100
+
+// TestSlowGathererCountsAsSent is the pattern of a VM that is only slow to take a call, so that two VMs
+// may gather the same parts: the second one counts each part as sent before, and has one attempt for it.
+func TestSlowGathererCountsAsSent(t *testing.T) {
+	spreadRun(t, func(*registrar.Candidate) behaviour { return served(25 * time.Millisecond) }, func(is *is.I, f *Forwarder, fleet *fakeFleet, b *fakeBackend) {
+		first := selector.Order(fleet.Selection(23).ByDataCentre["dc-0"], f.cfg.VM)[0].ID
+		fleet.modes[first] = slowToAccept
+		a, _ := sweep(f)
+		is.Equal(a.Status, http.StatusOK)
+		time.Sleep(time.Second)
+		fleet.mu.Lock()
+		defer fleet.mu.Unlock()
+		again := 0
+		for _, calls := range fleet.calls {
+			for _, c := range calls {
+				if c.Again {
+					again++
+				}
+			}
+		}
+		is.Equal(again, 1)
+		is.Equal(b.byShard["shard-3"], 1) // the slow VM finds the call ended, the other one does not hedge
+	})
+}
+
+// TestEndedCallDoesNotRun is the pattern of a VM that was frozen: it finds calls that were ended
+// meanwhile.
+func TestEndedCallDoesNotRun(t *testing.T) {
+	spreadRun(t, func(*registrar.Candidate) behaviour { return served(time.Millisecond) }, func(is *is.I, _ *Forwarder, fleet *fakeFleet, b *fakeBackend) {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		c := &Call{Request: request("/sweep/x", time.Second), Shards: []string{"shard-3"}, Total: 1, Need: 1, Top: 5, Target: target, MaxAttempts: 2}
+		is.True(errors.Is(fleet.byID["dc-0-0"].Collect(ctx, c, func() {}, func(Partial) {}), ErrRefused))
+		is.Equal(b.total(), 0)
+	})
+}
+
 // TestNoGathererLeft is the pattern of all gatherers lost at once: the VM sends itself, one
 // connection for each replica.
 func TestNoGathererLeft(t *testing.T) {
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,7 @@
 	"github.com/ebonylock/ebonylock/platform/requester"
 	"github.com/ebonylock/ebonylock/platform/store"
 	"github.com/ebonylock/ebonylock/routers/exposer"
+	"github.com/ebonylock/ebonylock/services/enroller"
 	"github.com/ebonylock/ebonylock/services/follower"
 	"github.com/ebonylock/ebonylock/services/forwarder"
 	"github.com/ebonylock/ebonylock/services/gatherer"
@@ -54,6 +56,10 @@
 	forgetAfter = time.Minute
 	// tick is the time between two looks of the membership protocol for what is due.
 	tick = 100 * time.Millisecond
+	// joinTime is the time after a start until which a VM may not have heard of all the others.
+	joinTime = 10 * time.Second
+	// recordInterval is the time between two looks at the record of the fleet.
+	recordInterval = time.Second
 	// neverHeard is a gap that is none: no other VM has been heard of since the start.
 	neverHeard = 24 * time.Hour
 	// fenceAfter is the silence that counts as a pause of the process.
@@ -87,6 +93,9 @@
 	// roster are the VMs that may gather, and gather makes calls to them.
 	roster selector.Roster
 	gather *gatherer.Client
+	// enroll keeps the record of the fleet, in which VMs that start find the others.
+	enroll  *enroller.Enroller
+	started time.Time
 	// losses are the replicas that requests have crashed.
 	losses quarantiner.Register
 	// evidence is what all VMs have seen of replicas.
@@ -102,12 +111,18 @@
 
 // New binds the daemon's addresses. Its log goes to out and never waits for it.
 func New(site loader.Site, out io.Writer) (*Daemon, error) {
-	d := &Daemon{site: site, spool: &spooler.Spooler{Out: out}, stop: make(chan struct{})}
+	d := &Daemon{site: site, spool: &spooler.Spooler{Out: out}, stop: make(chan struct{}), started: time.Now()}
 	log, routine := site.Log.Logger(d.spool.Important()), site.Log.Logger(d.spool.Routine())
 	log.AddHook(named(site.VM.ID))
 	routine.AddHook(named(site.VM.ID))
 	d.log = log
 	d.follow = follower.New(store.Decoder{}, log)
+	d.enroll = &enroller.Enroller{Store: store.New(site.Store), Key: store.KeyFleet, Log: log}
+	d.follow.OnFleet = func(value []byte, revision uint64) {
+		d.enroll.Take(value, revision)
+		// The follower holds its lock, and the count goes to it.
+		go d.count()
+	}
 	gatherKeys, err := derive(site.Peers.Keys, "gather")
 	if err != nil {
 		return nil, err
@@ -283,7 +298,8 @@
 	d.count()
 }
 
-// count tells all parts of the VMs that there are.
+// count tells all parts of the VMs that there are. A VM that has just started also counts those of
+// the record in the store, most of which it has not heard of yet.
 func (d *Daemon) count() {
 	d.counting.Lock()
 	defer d.counting.Unlock()
@@ -297,10 +313,63 @@
 		}
 	}
 	n = max(n, len(d.site.Peers.Seeds))
+	if time.Since(d.started) < joinTime {
+		r := d.enroll.Record()
+		n = max(n, r.VMs)
+		members = withRecorded(members, r.Fastest)
+	}
 	d.roster.Update(gatherers(members), n)
 	d.follow.SetVMs(n)
 }
 
+// withRecorded adds the recorded VMs that are not among the members.
+func withRecorded(members, recorded []prober.Member) []prober.Member {
+	for _, r := range recorded {
+		if !slices.ContainsFunc(members, func(m prober.Member) bool { return m.ID == r.ID }) {
+			members = append(members, r)
+		}
+	}
+	return members
+}
+
+// keepRecord writes the record of the fleet where this VM is the first reader of the store, and takes
+// the recorded VMs for seeds after a start, until ctx ends.
+func (d *Daemon) keepRecord(ctx context.Context) {
+	ticker := time.NewTicker(recordInterval)
+	defer ticker.Stop()
+	seeded, joined := false, false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if r := d.enroll.Record(); !seeded && len(r.Fastest) > 0 {
+				seeded = true
+				d.setSeeds(withGossip(d.site.Peers.Seeds, r.Fastest))
+			}
+			if now.Sub(d.started) < joinTime {
+				continue
+			}
+			if !joined {
+				joined = true
+				d.setSeeds(d.site.Peers.Seeds)
+				d.count()
+			}
+			if d.guide.leads() {
+				d.enroll.Offer(ctx, d.gossip.Members(), now)
+			}
+		}
+	}
+}
+
+func withGossip(seeds []netip.AddrPort, recorded []prober.Member) []netip.AddrPort {
+	out := slices.Clone(seeds)
+	for _, m := range recorded {
+		out = append(out, m.Gossip)
+	}
+	return out
+}
+
 // gatherers returns the members that may gather parts. A VM in doubt stays among them, as others may
 // reach it; calls find out.
 func gatherers(members []prober.Member) []selector.VM {
@@ -380,6 +449,7 @@
 	go d.follow.Follow(ctx, readers, &d.guide)
 	go d.follow.Sweep(ctx)
 	go d.sweep(ctx)
+	go d.keepRecord(ctx)
 	go d.forward.Warm(ctx)
 	d.log.WithFields(logrus.Fields{
 		"event": "start", "vm": d.site.VM.ID, "data-centre": d.site.VM.DataCentre,
--- a/tests/cmd/standin/main.go
+++ b/tests/cmd/standin/main.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	f, err := fleet.StartSite(filepath.Dir(exe), siteVMs, io.Discard)
+	f, err := fleet.StartSite(filepath.Dir(exe), siteVMs, 0, io.Discard)
 	if err != nil {
 		return err
 	}
--- a/tests/fleet/site.go
+++ b/tests/fleet/site.go
@@ -61,9 +61,10 @@
 	return netip.AddrFrom4([4]byte{127, byte(130 + vm), byte(pid >> 8), byte(pid)})
 }
 
-// StartSite starts a store, two shards and a single service of two replicas each, and vms VMs
-// with the binaries of bin, whose output goes to log. It waits until all VMs serve.
-func StartSite(bin string, vms int, log io.Writer) (*SiteFleet, error) {
+// StartSite starts a store, two shards and a single service of two replicas each, of which a shard's
+// take maxConns connections (0 for no limit), and vms VMs with the binaries of bin, whose output
+// goes to log. It waits until all VMs serve.
+func StartSite(bin string, vms, maxConns int, log io.Writer) (*SiteFleet, error) {
 	store, err := site.NewStore(100)
 	if err != nil {
 		return nil, err
@@ -73,7 +74,7 @@
 		return nil, err
 	}
 	f := &SiteFleet{Store: store, dir: dir}
-	if err := f.addReplicas(); err != nil {
+	if err := f.addReplicas(maxConns); err != nil {
 		f.Kill()
 		return nil, err
 	}
@@ -92,7 +93,7 @@
 	return f, nil
 }
 
-func (f *SiteFleet) addReplicas() error {
+func (f *SiteFleet) addReplicas(maxConns int) error {
 	for _, id := range []string{"a-1", "a-2", "b-1", "b-2", "c-1", "c-2"} {
 		r, err := site.NewReplica(func(g site.Got) site.Reply {
 			return site.Reply{Raw: site.OK(g, strings.Repeat(id[:1], 16)), After: time.Millisecond}
@@ -103,10 +104,11 @@
 		f.replicas = append(f.replicas, r)
 		f.Store.Put("servers/"+id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"dc-%s","version":"v1","slots":2,"state":"ready","warmup_left_ms":0,"sequence":1}`, id[:1], r.Addr(), id[2:]))
 	}
-	f.Store.Put("op/config", []byte(`{"version":1,"routes":[
+	f.Store.Put("op/config", fmt.Appendf(nil, `{"version":1,"routes":[
 		{"name":"search","hostname":"h.example","path_prefix":"/search/","type":"idempotent","timeout_ms":5000,"target_latency_ms":1000,"max_attempts":2,"gather":["a","b"],"top_k":3,"min_shard_share":1},
 		{"name":"write","hostname":"h.example","path_prefix":"/write/","type":"non_idempotent","timeout_ms":5000,"target_latency_ms":1000,"max_attempts":2,"service":"c"}],
-		"services":[],"limits":{"max_header_bytes":4096,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`))
+		"services":[{"name":"a","max_connections":%[1]d},{"name":"b","max_connections":%[1]d}],
+		"limits":{"max_header_bytes":4096,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, maxConns))
 	return nil
 }
 
@@ -135,6 +137,17 @@
 	return nil
 }
 
+// Metrics returns what the VM tells of itself.
+func (vm *SiteVM) Metrics() (string, error) {
+	w, err := http.Get("http://" + netip.AddrPortFrom(vm.host, portMetrics).String() + "/metrics")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = w.Body.Close() }()
+	body, err := io.ReadAll(w.Body)
+	return string(body), err
+}
+
 // Signal sends a signal to the VM's process.
 func (vm *SiteVM) Signal(s os.Signal) error {
 	return vm.cmd.Process.Signal(s)
--- a/tests/soak/world.go
+++ b/tests/soak/world.go
@@ -226,11 +226,18 @@
 		return fmt.Sprintf(`{"name":%q,"hostname":"h.example","path_prefix":"/%s/","type":%q,"timeout_ms":%d,"target_latency_ms":100,"max_attempts":%d,%s}`,
 			name, name, kind, timeout, maxAttempts, to)
 	}
-	w.store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[%s,%s,%s],"services":[{"name":"single","max_connections":30}],
+	limits := `{"name":"single","max_connections":30}`
+	if w.cfg.Seed%2 == 1 {
+		// Fewer than two for each VM: a few VMs gather for all.
+		for _, s := range services[search] {
+			limits += fmt.Sprintf(`,{"name":%q,"max_connections":%d}`, s, w.cfg.VMs)
+		}
+	}
+	w.store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[%s,%s,%s],"services":[%s],
 		"limits":{"max_header_bytes":4096,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, w.version,
 		route("search", "idempotent", fmt.Sprintf(`"gather":[%s],"top_k":%d,"min_shard_share":0.75`, shards, topRecords)),
 		route("read", "idempotent", `"service":"single"`),
-		route("write", "non_idempotent", `"service":"single"`)))
+		route("write", "non_idempotent", `"service":"single"`), limits))
 }
 
 // balance looks which VMs take callers, until ctx ends.
