Attempts are counted over several gatherers; stand-ins get work by their speed

Cause: each further VM that was asked believed in one attempt before it, however many there were; and a slow VM that takes the place of a fast one got half of the calls. Now a call tells how many replicas of each shard may have run the request, parts without an attempt left are lost, and VMs are ordered by rendezvous hashing weighted with the speed of their links. In another data centre one VM is asked, then the own data centre, as all of it may be out of reach. Ruled out: hedges of one gatherer (it counts them), lost answers (none then).

Also: at the first start of the fleet, VMs that are no seeds leave the first read of the store to the seeds for a second (TestFirstReadIsLeftToTheSeeds, TestFirstReadLeavesTheStore).

--- a/modules/selector/selector.go
+++ b/modules/selector/selector.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -89,16 +90,27 @@
 	return slices.Clip(list[:min(n, most)])
 }
 
-// Order sorts vms by their rendezvous weight for key, so that each key has its own order and keeps
-// it when other VMs come and go.
+// Order sorts vms by weighted rendezvous hashing (Thaler and Ravishankar, 1998) for key: each key has
+// its own order and keeps it when other VMs come and go, and a VM comes first in proportion to the
+// speed of its link.
 func Order(vms []VM, key string) []VM {
 	out := slices.Clone(vms)
+	scores := make(map[string]float64, len(out))
+	for _, v := range out {
+		scores[v.ID] = score(v, key)
+	}
 	slices.SortFunc(out, func(a, b VM) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(b.ID+"\x00"+key), xxhash.Sum64String(a.ID+"\x00"+key)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(scores[b.ID], scores[a.ID]), cmp.Compare(a.ID, b.ID))
 	})
 	return out
 }
 
+func score(v VM, key string) float64 {
+	// The hash as a number between 0 and 1, both left out.
+	u := (float64(xxhash.Sum64String(v.ID+"\x00"+key)>>11) + 0.5) / (1 << 53)
+	return max(float64(v.Capacity), 1) / -math.Log(u)
+}
+
 // Roster holds the VMs of the fleet and the selections among them. The zero value knows none.
 type Roster struct {
 	mu         sync.Mutex
--- a/modules/selector/selector_test.go
+++ b/modules/selector/selector_test.go
@@ -66,6 +66,20 @@
 	is.Equal(len(firsts), 5)
 }
 
+// TestSlowStandInGetsItsShare is the pattern of a fast gatherer that leaves, so that a VM with a tenth of
+// the speed takes its place beside the other one.
+func TestSlowStandInGetsItsShare(t *testing.T) {
+	is := is.New(t)
+	vms := []VM{{ID: "fast", Capacity: 200}, {ID: "slow", Capacity: 20}}
+	slow := 0
+	for i := range 1000 {
+		if Order(vms, fmt.Sprint(i))[0].ID == "slow" {
+			slow++
+		}
+	}
+	is.True(slow > 40 && slow < 160) // an eleventh
+}
+
 func TestRoster(t *testing.T) {
 	is := is.New(t)
 	var r Roster
--- a/services/follower/follower_test.go
+++ b/services/follower/follower_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -314,3 +315,55 @@
 		is.True(v.State() != nil)
 	})
 }
+
+// first is a Guide with a source that serves the first read alone, and a store that is held back.
+type first struct {
+	seed, store replicator.Source
+	hold        time.Duration
+}
+
+func (g first) Sources(int) []Named {
+	return []Named{
+		{Name: "seed", Source: g.seed, FirstOnly: true},
+		{Name: "store", Store: true, Source: g.store, Hold: g.hold},
+	}
+}
+
+// counted counts the snapshots that are read of a copy.
+type counted struct {
+	*replicator.Copy
+	snapshots atomic.Int64
+}
+
+func (c *counted) Snapshot(ctx context.Context) (replicator.Batch, error) {
+	c.snapshots.Add(1)
+	return c.Copy.Snapshot(ctx)
+}
+
+// TestFirstReadLeavesTheStore is the pattern of hundreds of VMs that start together: a VM that gets its
+// first snapshot from a seed does not read the store, and one whose seeds are dead reads it later.
+func TestFirstReadLeavesTheStore(t *testing.T) {
+	for _, alive := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			seed, store := &counted{Copy: &replicator.Copy{}}, &counted{Copy: &replicator.Copy{}}
+			store.Load(batch(5, item("config", "1", 5)), time.Now())
+			if alive {
+				seed.Load(batch(5, item("config", "1", 5)), time.Now())
+			}
+			f := New(plain{}, quiet())
+			go f.first(ctx, first{seed, store, time.Second})
+			time.Sleep(900 * time.Millisecond)
+			synctest.Wait()
+			is.Equal(f.Copy.Revision() > 0, alive)
+			is.Equal(store.snapshots.Load(), int64(0))
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+			is.True(f.Copy.Revision() > 0)
+			cancel()
+			time.Sleep(time.Minute)
+			synctest.Wait()
+		})
+	}
+}
--- a/services/follower/run.go
+++ b/services/follower/run.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,6 +51,10 @@
 	Store bool
 	// After is the age of the copy above which the source may be asked.
 	After time.Duration
+	// FirstOnly is true for a source that serves the first read alone.
+	FirstOnly bool
+	// Hold is the time for which the first read leaves the source to others.
+	Hold time.Duration
 	// Avoid is the time for which the source is not asked after a failure; 0 means a second.
 	Avoid  time.Duration
 	Source replicator.Source
@@ -86,9 +91,9 @@
 
 // first reads a snapshot from whichever source answers first, until one does.
 func (f *Follower) first(ctx context.Context, guide Guide) {
-	pause := firstRetry
+	pause, began := firstRetry, time.Now()
 	for ctx.Err() == nil && f.Copy.Revision() == 0 {
-		sources := guide.Sources(0)
+		sources := slices.DeleteFunc(guide.Sources(0), func(s Named) bool { return s.Hold > time.Since(began) })
 		done := make(chan bool, len(sources))
 		try, stop := context.WithTimeout(ctx, firstTimeout)
 		for _, s := range sources {
@@ -155,7 +160,7 @@
 func (l *lane) pick(now time.Time) (Named, bool) {
 	age := now.Sub(l.f.Copy.Fresh())
 	for _, s := range l.guide.Sources(l.index) {
-		if age >= s.After && now.Sub(l.failed[s.Name]) >= cmp.Or(s.Avoid, avoidFor) {
+		if !s.FirstOnly && age >= s.After && now.Sub(l.failed[s.Name]) >= cmp.Or(s.Avoid, avoidFor) {
 			return s, true
 		}
 	}
--- a/services/forwarder/call.go
+++ b/services/forwarder/call.go
@@ -36,8 +36,8 @@
 	// Cutoff is the time at which the parts at hand have to leave; Deadline that at which no part is
 	// of use.
 	Cutoff, Deadline time.Time
-	// Again is true when a replica of each shard may have run the request.
-	Again bool
+	// Ran is the number of replicas of each shard that may have run the request for earlier calls.
+	Ran int
 }
 
 // Receipt is a part that is in.
@@ -141,10 +141,8 @@
 	fl.start(c.Shards, len(c.Shards)-spare*len(c.Shards)/max(c.Total, 1))
 	fl.least = len(c.Shards) - spare
 	defer fl.finish()
-	if c.Again {
-		for _, p := range fl.parts {
-			p.sent, p.ran = 1, 1
-		}
+	for _, p := range fl.parts {
+		p.sent, p.ran = c.Ran, c.Ran
 	}
 	if f.barred(fl.fingerprint, c.Arrived) {
 		emit(Partial{Final: true, Reasons: []string{outcomeBarred}})
--- a/services/forwarder/spread.go
+++ b/services/forwarder/spread.go
@@ -17,6 +17,8 @@
 const (
 	// maxHops is the number of VMs that are asked for one group of shards.
 	maxHops = 3
+	// earlyLoss is the time within which a VM has hardly sent a hedge.
+	earlyLoss = 8 * time.Millisecond
 	// hopMargin is the time for a partial answer at both ends of the way.
 	hopMargin = time.Millisecond
 )
@@ -62,8 +64,8 @@
 	// acceptBy is the time after which another VM is asked.
 	acceptBy time.Time
 	accepted bool
-	// again is true when replicas may have run the request for the same shards before.
-	again bool
+	// ran is the number of replicas of each shard that may have run the request before this hop.
+	ran int
 	// end says how the hop ended; nothing is taken from it afterwards.
 	end     string
 	took    time.Duration
@@ -117,7 +119,7 @@
 func (sp *spread) run() Answer {
 	fl := sp.fl
 	for _, g := range sp.groups() {
-		sp.ask(g.dataCentre, g.shards, nil, false)
+		sp.ask(g.dataCentre, g.shards, nil, 0)
 	}
 	defer sp.stop()
 	cutoff, last := fl.cutoff(), fl.deadline.Add(-fl.margin())
@@ -167,7 +169,7 @@
 			// It may run, if the VM was only slow to say so.
 			sp.ran = true
 			h.ongoing.End(true)
-			sp.again(h, hopNoAccept, true, now)
+			sp.again(h, hopNoAccept, 1, now)
 		}
 	}
 	return true
@@ -253,18 +255,18 @@
 	})
 }
 
-// ask calls a VM for shards of one data centre; tried are those that were asked before. This VM
-// gathers itself if there is none left.
-func (sp *spread) ask(dataCentre string, shards []int, tried []string, again bool) {
+// ask calls a VM for shards of one data centre; tried are those that were asked before, for which ran
+// replicas of each shard may have run the request. This VM gathers itself if there is none left.
+func (sp *spread) ask(dataCentre string, shards []int, tried []string, ran int) {
 	f, now := sp.fl.f, time.Now()
 	to, ok := sp.choose(dataCentre, tried, now)
-	h := &hop{sp: sp, to: to, shards: shards, began: now, again: again, local: !ok || to.ID == f.cfg.VM}
+	h := &hop{sp: sp, to: to, shards: shards, began: now, ran: ran, local: !ok || to.ID == f.cfg.VM}
 	if h.local {
 		h.to = selector.VM{ID: f.cfg.VM, DataCentre: f.cfg.DataCentre}
 	}
 	h.tried = append(slices.Clone(tried), h.to.ID)
 	sp.hops = append(sp.hops, h)
-	c := sp.call(h, again)
+	c := sp.call(h)
 	if h.local {
 		h.accepted = true
 		ctx, cancel := context.WithCancelCause(sp.fl.ctx)
@@ -277,7 +279,7 @@
 }
 
 // call makes the call of a hop.
-func (sp *spread) call(h *hop, again bool) *Call {
+func (sp *spread) call(h *hop) *Call {
 	fl := sp.fl
 	names := make([]string, len(h.shards))
 	for i, s := range h.shards {
@@ -289,13 +291,13 @@
 	}
 	return &Call{
 		Request: fl.r, Route: fl.route.Name, Shards: names, Total: len(sp.stamps), Need: sp.need, Top: fl.route.Top,
-		Target: fl.route.Target, MaxAttempts: fl.route.MaxAttempts, Again: again,
+		Target: fl.route.Target, MaxAttempts: fl.route.MaxAttempts, Ran: h.ran,
 		Cutoff: fl.cutoff().Add(-way), Deadline: fl.deadline.Add(-fl.margin() - way),
 	}
 }
 
-// choose returns the VM to ask: one of the data centre, else of the own one, else any. ok is false
-// if there is none.
+// choose returns the VM to ask: one of the data centre, else of the own one, else any; the own data
+// centre comes first once others were tried. ok is false if there is none.
 func (sp *spread) choose(dataCentre string, tried []string, now time.Time) (to selector.VM, ok bool) {
 	f := sp.fl.f
 	if len(tried) >= maxHops {
@@ -308,7 +310,12 @@
 	for _, list := range sp.sel.ByDataCentre {
 		rest = append(rest, list...)
 	}
-	for _, list := range [][]selector.VM{sp.sel.ByDataCentre[dataCentre], sp.sel.ByDataCentre[f.cfg.DataCentre], rest} {
+	there, here := sp.sel.ByDataCentre[dataCentre], sp.sel.ByDataCentre[f.cfg.DataCentre]
+	if len(tried) > 0 {
+		// The whole data centre may be out of reach.
+		there, here = here, there
+	}
+	for _, list := range [][]selector.VM{there, here, rest} {
 		if i := slices.IndexFunc(list, func(v selector.VM) bool { return v.ID == f.cfg.VM }); i >= 0 && usable(list[i]) {
 			return list[i], true
 		}
@@ -345,13 +352,27 @@
 	if errors.Is(err, ErrRefused) || errors.Is(err, ErrUnsent) {
 		end, h.accepted = hopRefused, false
 	}
-	sp.ran = sp.ran || h.accepted
-	sp.again(h, end, h.accepted, at)
+	ran := 0
+	if h.accepted {
+		sp.ran = true
+		ran = sp.attempts(at.Sub(h.began))
+	}
+	sp.again(h, end, ran, at)
+}
+
+// attempts is the number of replicas of a shard that may have run the request for a hop that was lost
+// after a time: one, or all that the route allows once hedges may have been sent.
+func (sp *spread) attempts(after time.Duration) int {
+	if after < earlyLoss {
+		return 1
+	}
+	return max(sp.fl.route.MaxAttempts, 1)
 }
 
-// again ends a hop and asks another VM for the parts that it has not given; ran is true if replicas
-// may have run the request for it.
-func (sp *spread) again(h *hop, end string, ran bool, at time.Time) {
+// again ends a hop and asks another VM for the parts that it has not given; ran is the number of
+// replicas of each shard that may have run the request for it. Parts for which the route allows no
+// further attempt are lost.
+func (sp *spread) again(h *hop, end string, ran int, at time.Time) {
 	sp.finish(h, end, at)
 	sp.fl.f.peers.failed(h.to.ID, at)
 	var left []int
@@ -360,8 +381,13 @@
 			left = append(left, s)
 		}
 	}
-	if len(left) > 0 {
-		sp.ask(h.to.DataCentre, left, h.tried, ran || h.again)
+	switch ran += h.ran; {
+	case len(left) == 0:
+	case ran >= max(sp.fl.route.MaxAttempts, 1):
+		sp.lost += len(left)
+		sp.reasons = append(sp.reasons, reasonAttempts)
+	default:
+		sp.ask(h.to.DataCentre, left, h.tried, ran)
 	}
 }
 
--- a/services/forwarder/spread_test.go
+++ b/services/forwarder/spread_test.go
@@ -246,7 +246,7 @@
 		again := 0
 		for _, calls := range fleet.calls {
 			for _, c := range calls {
-				if c.Again {
+				if c.Ran > 0 {
 					again++
 				}
 			}
@@ -256,6 +256,30 @@
 	})
 }
 
+// TestAttemptsOverSeveralVMs is the pattern of VMs that are all slow to take calls, as when those with fast
+// links stop one after the other: a shard is not sent to by more of them than the route allows attempts.
+func TestAttemptsOverSeveralVMs(t *testing.T) {
+	spreadRun(t, func(*registrar.Candidate) behaviour { return served(7 * time.Millisecond) }, func(is *is.I, f *Forwarder, fleet *fakeFleet, _ *fakeBackend) {
+		for _, v := range fleet.vms {
+			fleet.modes[v.ID] = dark
+		}
+		a, took := sweep(f)
+		is.Equal(a.Status, http.StatusBadGateway) // they may have run it; and it is told at once
+		is.True(took < target)
+		asked := make(map[string]int)
+		for _, calls := range fleet.calls {
+			for _, c := range calls {
+				for _, s := range c.Shards {
+					asked[s]++
+				}
+			}
+		}
+		for _, n := range asked {
+			is.Equal(n, 2)
+		}
+	})
+}
+
 // TestEndedCallDoesNotRun is the pattern of a VM that was frozen: it finds calls that were ended
 // meanwhile.
 func TestEndedCallDoesNotRun(t *testing.T) {
--- a/services/gatherer/codec.go
+++ b/services/gatherer/codec.go
@@ -76,7 +76,7 @@
 	callAttempts protowire.Number = 13
 	callCutoff   protowire.Number = 14
 	callDeadline protowire.Number = 15
-	callAgain    protowire.Number = 16
+	callRan      protowire.Number = 16
 
 	fieldName  protowire.Number = 1
 	fieldValue protowire.Number = 2
@@ -114,10 +114,7 @@
 	b = encoder.AppendVarint(b, callAttempts, uint64(c.MaxAttempts))
 	b = encoder.AppendVarint(b, callCutoff, microseconds(c.Cutoff.Sub(now)))
 	b = encoder.AppendVarint(b, callDeadline, microseconds(c.Deadline.Sub(now)))
-	if c.Again {
-		b = encoder.AppendVarint(b, callAgain, 1)
-	}
-	return b
+	return encoder.AppendVarint(b, callRan, uint64(c.Ran))
 }
 
 func microseconds(d time.Duration) uint64 {
@@ -173,8 +170,8 @@
 			c.Cutoff = now.Add(duration(v))
 		case callDeadline:
 			c.Deadline = now.Add(duration(v))
-		case callAgain:
-			c.Again = v != 0
+		case callRan:
+			c.Ran = number(v, math.MaxInt16)
 		}
 		return nil
 	})
--- a/services/gatherer/gatherer_test.go
+++ b/services/gatherer/gatherer_test.go
@@ -74,7 +74,7 @@
 	return &forwarder.Call{
 		Request: &forwarder.Request{ID: "id-1", Method: "GET", Target: "/a?b", Host: "h", Fields: []forwarder.Field{{Name: "X", Value: "1"}}, Body: []byte("body"), Arrived: now},
 		Route:   "sweep", Shards: []string{"s-1", "s-2"}, Total: 10, Need: 9, Top: 5, Target: 80 * time.Millisecond, MaxAttempts: 2,
-		Cutoff: now.Add(60 * time.Millisecond), Deadline: now.Add(400 * time.Millisecond), Again: true,
+		Cutoff: now.Add(60 * time.Millisecond), Deadline: now.Add(400 * time.Millisecond), Ran: 1,
 	}
 }
 
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -214,6 +214,8 @@
 	d.evidence.OnChange = d.judged
 	d.relay.Evidence = &d.evidence
 	d.guide = guide{self: d.site.VM.ID, dataCentre: d.site.VM.DataCentre, store: store.New(d.site.Store), keys: relayKeys, evidence: &d.evidence, log: d.log}
+	d.guide.seeds = seedMembers(d.site.Peers.Seeds, d.relay.Addr())
+	d.guide.patient = d.site.FirstStart && len(d.guide.seeds) == len(d.site.Peers.Seeds) && len(d.guide.seeds) > 0
 	self := prober.Member{
 		ID:          d.site.VM.ID,
 		DataCentre:  d.site.VM.DataCentre,
@@ -238,6 +240,19 @@
 	return nil
 }
 
+// seedMembers returns the VMs of the seeds without the one at the address self; all VMs listen on the
+// same port.
+func seedMembers(seeds []netip.AddrPort, self netip.AddrPort) []prober.Member {
+	var out []prober.Member
+	for _, s := range seeds {
+		link := netip.AddrPortFrom(s.Addr(), self.Port())
+		if link != self {
+			out = append(out, prober.Member{ID: "seed-" + s.Addr().String(), Link: link})
+		}
+	}
+	return out
+}
+
 // judged writes that all VMs together hold a replica for failing or slow, or no longer do.
 func (d *Daemon) judged(v reporter.Verdict, ended bool) {
 	fields := logrus.Fields{"event": "replica-judged", "failing": v.Failing, "ratio": v.Ratio, "ended": ended}
--- a/services/launcher/sources.go
+++ b/services/launcher/sources.go
@@ -33,6 +33,9 @@
 	// after the store failed.
 	readerRetry = 500 * time.Millisecond
 	othersRetry = 3 * time.Second
+	// seedTime is the time that the seeds have at the first start of the fleet before the other VMs
+	// read the store.
+	seedTime = time.Second
 	// reserveTime is the time that the reserves have before the other VMs read the store.
 	reserveTime = 400 * time.Millisecond
 )
@@ -40,6 +43,11 @@
 // guide chooses whom this VM follows. It implements follower.Guide.
 type guide struct {
 	self, dataCentre string
+	// seeds are the other VMs that are asked while no other one is known.
+	seeds []prober.Member
+	// patient is true for a VM that leaves the first read of the store to the seeds for a while, as
+	// nobody waits for it yet.
+	patient bool
 
 	store replicator.Source
 	keys  [][]byte
@@ -142,7 +150,16 @@
 			out[0], out[1] = out[1], out[0]
 		}
 		return out
-	case place < readers || len(g.ranked) <= 1:
+	case len(g.ranked) <= 1:
+		if g.patient {
+			store.Hold = seedTime
+		}
+		first := g.sources(g.seeds)
+		for i := range first {
+			first[i].FirstOnly = true
+		}
+		return append(first, store)
+	case place < readers:
 		return append([]follower.Named{store}, out...)
 	case place < readers+reserves:
 		store.After = replicator.StaleAfter
--- a/services/launcher/sources_test.go
+++ b/services/launcher/sources_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -73,6 +74,26 @@
 	}
 }
 
+// TestFirstReadIsLeftToTheSeeds is the pattern of hundreds of VMs that start together for the first
+// time: the store is read by the seeds, and by the others only if these do not answer.
+func TestFirstReadIsLeftToTheSeeds(t *testing.T) {
+	is := is.New(t)
+	members := fleet(1)
+	link := func(m prober.Member) netip.AddrPort { return m.Link }
+	seeds := []netip.AddrPort{link(members[0]), link(members[1])}
+	is.Equal(len(seedMembers(seeds, link(members[0]))), 1)
+	g := guideOf(members[2:], members[2])
+	g.seeds = seedMembers(seeds, link(members[2]))
+	is.Equal(len(g.seeds), 2)
+	g.patient = true
+	list := g.Sources(0)
+	is.Equal(len(list), 3)
+	is.True(list[2].Store && list[2].Hold == seedTime)
+	is.True(list[0].FirstOnly && list[1].FirstOnly && !list[2].FirstOnly)
+	g.patient = false // it starts again, and callers may wait
+	is.Equal(g.Sources(0)[2].Hold, time.Duration(0))
+}
+
 // TestHubLeaves is the pattern of a VM that others follow and that is gone: another one takes its
 // place.
 func TestHubLeaves(t *testing.T) {
