--- a/services/forwarder/call.go
+++ b/services/forwarder/call.go
@@ -91,9 +91,9 @@
 // emitInterval is the time between two partial answers after the cutoff.
 const emitInterval = 2 * time.Millisecond
 
-// maxCalls is the number of calls of other VMs under way from which on more are refused: above it
-// they would wait for the processor for longer than the targets allow.
-const maxCalls = 64
+// maxCalls is the number of calls of other VMs under way from which on more are refused. A call over
+// 90 shards holds up to 120 KB, so that all of them take a sixth of the memory of the smallest VMs.
+const maxCalls = 256
 
 // Collect gathers the parts of a call of another VM. It calls accept once it has taken the call,
 // and then gives the parts to emit: those at hand at the cutoff, then others as they come. Errors
