--- a/services/forwarder/spread.go
+++ b/services/forwarder/spread.go
@@ -23,16 +23,6 @@
 	hopMargin = time.Millisecond
 )
 
-// Ends of hops, in logs and metrics.
-const (
-	hopWhole    = "whole"
-	hopPartly   = "partly"
-	hopEnough   = "answered-without"
-	hopNoAccept = "not-accepted"
-	hopRefused  = "refused"
-	hopLost     = "lost"
-)
-
 // spread is a gathered request whose parts other VMs gather, each those of the data centre that it
 // is in. It belongs to the goroutine that serves the request; hops report through the inbox.
 type spread struct {
@@ -53,62 +43,6 @@
 	comeBack time.Duration
 }
 
-// hop is one call for a group of shards. It implements Sink.
-type hop struct {
-	sp *spread
-	to selector.VM
-	// local is true when this VM gathers itself.
-	local  bool
-	shards []int
-	began  time.Time
-	// acceptBy is the time after which another VM is asked.
-	acceptBy time.Time
-	accepted bool
-	// ran is the number of replicas of each shard that may have run the request before this hop.
-	ran int
-	// end says how the hop ended; nothing is taken from it afterwards.
-	end     string
-	took    time.Duration
-	ongoing Ongoing
-	// tried are the VMs that were asked for the same shards, this one included.
-	tried []string
-}
-
-type hopEvent struct {
-	hop      *hop
-	at       time.Time
-	accepted bool
-	partial  Partial
-	err      error
-}
-
-// Accepted implements Sink.
-func (h *hop) Accepted() {
-	h.sp.inbox.add(hopEvent{hop: h, at: time.Now(), accepted: true})
-}
-
-// Take implements Sink.
-func (h *hop) Take(p Partial) {
-	h.sp.inbox.add(hopEvent{hop: h, at: time.Now(), partial: p})
-}
-
-// Failed implements Sink.
-func (h *hop) Failed(err error) {
-	h.sp.inbox.add(hopEvent{hop: h, at: time.Now(), err: err})
-}
-
-// ender is an Ongoing of this VM.
-type ender context.CancelCauseFunc
-
-// End implements Ongoing.
-func (e ender) End(gone bool) {
-	if gone {
-		e(context.Canceled)
-	} else {
-		e(ErrEnough)
-	}
-}
-
 func newSpread(fl *flight, sel *selector.Selection, need int) *spread {
 	sp := &spread{fl: fl, sel: sel, need: need, stamps: make([]string, len(fl.route.Shards)), inbox: newInbox[hopEvent]()}
 	fl.spread = sp
@@ -175,86 +109,6 @@
 	return true
 }
 
-// waits reports whether the VM has not yet said that it has taken the call.
-func (h *hop) waits() bool {
-	return h.end == "" && !h.accepted
-}
-
-// group is the shards that the VMs of one data centre gather.
-type group struct {
-	dataCentre string
-	shards     []int
-}
-
-// groups shares the shards among the data centres that have replicas of them: the own one first,
-// then each time the one with most of those left. Shards without a replica are lost.
-func (sp *spread) groups() []group {
-	near := make(map[string][]int)
-	var left []int
-	for i, service := range sp.fl.route.Shards {
-		list := sp.fl.state.View.Services[service]
-		if len(list) == 0 {
-			sp.lost++
-			sp.reasons = append(sp.reasons, reasonNoReplica)
-			continue
-		}
-		left = append(left, i)
-		var seen []string
-		for _, c := range list {
-			if dc := c.DataCentre; !c.Fading && !slices.Contains(seen, dc) && sp.reachable(dc) {
-				seen = append(seen, dc)
-				near[dc] = append(near[dc], i)
-			}
-		}
-	}
-	var out []group
-	for dc := sp.fl.f.cfg.DataCentre; len(left) > 0; dc = sp.widest(near) {
-		taken := near[dc]
-		if len(taken) == 0 && len(near) == 0 {
-			// Their replicas are where no VM is reached: those of the own data centre send there.
-			return append(out, group{sp.fl.f.cfg.DataCentre, left})
-		}
-		delete(near, dc)
-		if len(taken) == 0 {
-			continue
-		}
-		out = append(out, group{dc, taken})
-		without := func(i int) bool { return slices.Contains(taken, i) }
-		left = slices.DeleteFunc(left, without)
-		for other, list := range near {
-			near[other] = slices.DeleteFunc(list, without)
-		}
-	}
-	return out
-}
-
-// widest returns the data centre with the most shards; the VM's own order decides between equal
-// ones, so that the load is shared.
-func (sp *spread) widest(near map[string][]int) string {
-	var vms []selector.VM
-	most := 0
-	for dc, list := range near {
-		if len(list) > most {
-			vms, most = nil, len(list)
-		}
-		if len(list) == most {
-			vms = append(vms, selector.VM{ID: dc})
-		}
-	}
-	if len(vms) == 0 {
-		return ""
-	}
-	return selector.Order(vms, sp.fl.f.cfg.VM)[0].ID
-}
-
-// reachable reports whether a data centre has a gatherer that is not in doubt.
-func (sp *spread) reachable(dataCentre string) bool {
-	now := time.Now()
-	return slices.ContainsFunc(sp.sel.ByDataCentre[dataCentre], func(v selector.VM) bool {
-		return v.ID == sp.fl.f.cfg.VM || !sp.fl.f.peers.doubted(v.ID, now)
-	})
-}
-
 // ask calls a VM for shards of one data centre; tried are those that were asked before, for which ran
 // replicas of each shard may have run the request. This VM gathers itself if there is none left.
 func (sp *spread) ask(dataCentre string, shards []int, tried []string, ran int) {
@@ -296,37 +150,6 @@
 	}
 }
 
-// choose returns the VM to ask: one of the data centre, else of the own one, else any; the own data
-// centre comes first once others were tried. ok is false if there is none.
-func (sp *spread) choose(dataCentre string, tried []string, now time.Time) (to selector.VM, ok bool) {
-	f := sp.fl.f
-	if len(tried) >= maxHops {
-		return to, false
-	}
-	usable := func(v selector.VM) bool {
-		return !slices.Contains(tried, v.ID) && (v.ID == f.cfg.VM || !f.peers.doubted(v.ID, now))
-	}
-	var rest []selector.VM
-	for _, list := range sp.sel.ByDataCentre {
-		rest = append(rest, list...)
-	}
-	there, here := sp.sel.ByDataCentre[dataCentre], sp.sel.ByDataCentre[f.cfg.DataCentre]
-	if len(tried) > 0 {
-		// The whole data centre may be out of reach.
-		there, here = here, there
-	}
-	for _, list := range [][]selector.VM{there, here, rest} {
-		if i := slices.IndexFunc(list, func(v selector.VM) bool { return v.ID == f.cfg.VM }); i >= 0 && usable(list[i]) {
-			return list[i], true
-		}
-		list = selector.Order(list, f.cfg.VM)
-		if i := slices.IndexFunc(list, usable); i >= 0 {
-			return list[i], true
-		}
-	}
-	return to, false
-}
-
 // take takes in what a hop tells.
 func (sp *spread) take(e hopEvent) {
 	h, f := e.hop, sp.fl.f
