A call begins only once the VM that asked has heard that it was taken

Cause: a slow VM took a call after another VM had been asked, and sent tries and hedges before it heard that the call was ended. Counting the first as one attempt was not enough. Now the gatherer waits for a word to begin, one more way there and back; a VM that is too late runs nothing, so the next one has all attempts and draws nothing from the budget. Ruled out: not asking a second VM at all (each dead gatherer would cost every VM a request).

--- a/services/forwarder/call.go
+++ b/services/forwarder/call.go
@@ -75,6 +75,8 @@
 
 // Ongoing is a Call on its way.
 type Ongoing interface {
+	// Go lets an accepted call begin. Without it the VM sends nothing to replicas.
+	Go()
 	// End ends it. If gone is true its caller has gone and all work for it stops; otherwise its
 	// answer has left, and replicas may finish what they run.
 	End(gone bool)
@@ -95,10 +97,10 @@
 // 90 shards holds up to 120 KB, so that all of them take a sixth of the memory of the smallest VMs.
 const maxCalls = 256
 
-// Collect gathers the parts of a call of another VM. It calls accept once it has taken the call,
-// and then gives the parts to emit: those at hand at the cutoff, then others as they come. Errors
+// Collect gathers the parts of a call of another VM. It calls accept once it has taken the call, which
+// returns whether it may begin: the VM that asked may have asked another one meanwhile. Then it gives the parts to emit: those at hand at the cutoff, then others as they come. Errors
 // match ErrRefused; nothing runs then.
-func (f *Forwarder) Collect(ctx context.Context, c *Call, accept func(), emit func(Partial)) error {
+func (f *Forwarder) Collect(ctx context.Context, c *Call, accept func() bool, emit func(Partial)) error {
 	state := f.beliefs.State()
 	if ctx.Err() != nil {
 		// It was ended while this VM had no time to take it; another VM has it now.
@@ -111,7 +113,10 @@
 		f.log.WithFields(logrus.Fields{"event": "call-refused", "id": c.ID, "calls": f.Calls(), "configured": state != nil}).Info("call of another VM refused")
 		return ErrRefused
 	}
-	accept()
+	if !accept() {
+		f.metrics.calls.WithLabelValues(outcomeCallerLeft).Inc()
+		return nil
+	}
 	f.collect(ctx, state, c, emit)
 	return nil
 }
--- a/services/forwarder/hop.go
+++ b/services/forwarder/hop.go
@@ -28,6 +28,8 @@
 	// acceptBy is the time after which another VM is asked.
 	acceptBy time.Time
 	accepted bool
+	// begun is the time at which an accepted call was let begin.
+	begun time.Time
 	// ran is the number of replicas of each shard that may have run the request before this hop.
 	ran int
 	// end says how the hop ended; nothing is taken from it afterwards.
@@ -69,6 +71,9 @@
 // ender is an Ongoing of this VM.
 type ender context.CancelCauseFunc
 
+// Go implements Ongoing.
+func (ender) Go() {}
+
 // End implements Ongoing.
 func (e ender) End(gone bool) {
 	if gone {
--- a/services/forwarder/spread.go
+++ b/services/forwarder/spread.go
@@ -18,7 +18,7 @@
 	// maxHops is the number of VMs that are asked for one group of shards.
 	maxHops = 3
 	// earlyLoss is the time within which a VM has hardly sent a hedge.
-	earlyLoss = 8 * time.Millisecond
+	earlyLoss = hedgeFloor
 	// hopMargin is the time for a partial answer at both ends of the way.
 	hopMargin = time.Millisecond
 )
@@ -100,10 +100,9 @@
 	now := time.Now()
 	for _, h := range sp.hops {
 		if h.waits() && !now.Before(h.acceptBy) {
-			// It may run, if the VM was only slow to say so.
-			sp.ran = true
+			// It was not told to begin, so nothing runs there.
 			h.ongoing.End(true)
-			sp.again(h, hopNoAccept, 1, now)
+			sp.again(h, hopNoAccept, 0, now)
 		}
 	}
 	return true
@@ -155,7 +154,10 @@
 	h, f := e.hop, sp.fl.f
 	switch {
 	case e.accepted && (h.end == "" || h.end == hopNoAccept):
-		h.accepted = true
+		if h.end == "" {
+			h.accepted, h.begun = true, e.at
+			h.ongoing.Go()
+		}
 		f.peers.accepted(h.to.ID, e.at.Sub(h.began))
 		f.metrics.hopTime.Observe(e.at.Sub(h.began).Seconds())
 	case h.end != "", e.accepted:
@@ -178,7 +180,7 @@
 	ran := 0
 	if h.accepted {
 		sp.ran = true
-		ran = sp.attempts(at.Sub(h.began))
+		ran = sp.attempts(at.Sub(h.begun))
 	}
 	sp.again(h, end, ran, at)
 }
--- a/services/gatherer/client.go
+++ b/services/gatherer/client.go
@@ -190,7 +190,7 @@
 			r.forget(f.call)
 		}
 		x.sink.Take(p)
-	case kindCall, kindEnd:
+	case kindCall, kindGo, kindEnd:
 	}
 	return nil
 }
@@ -230,21 +230,32 @@
 	x.sink.Failed(oops.Wrap(err))
 }
 
+// Go implements forwarder.Ongoing.
+func (x *exchange) Go() {
+	x.tell(frame{kind: kindGo})
+}
+
 // End implements forwarder.Ongoing. The answer to the call may still come, and tells how long the
 // VM took to accept it.
 func (x *exchange) End(gone bool) {
 	x.ended.Store(true)
+	f := frame{kind: kindEnd}
+	if !gone {
+		f.body = bodyEnough
+	}
+	x.tell(f)
+}
+
+// tell sends a frame about the call, if the call was sent.
+func (x *exchange) tell(f frame) {
 	r := x.remote
 	r.mu.Lock()
-	l, id := x.link, x.id
+	l := x.link
+	f.call = x.id
 	r.mu.Unlock()
 	if l == nil {
 		return
 	}
-	f := frame{kind: kindEnd, call: id}
-	if !gone {
-		f.body = bodyEnough
-	}
 	go func() {
 		if err := l.write(f); err != nil {
 			r.drop(l, err)
--- a/services/gatherer/codec.go
+++ b/services/gatherer/codec.go
@@ -14,8 +14,9 @@
 type kind uint64
 
 const (
-	// kindCall asks for parts; kindEnd ends a call.
+	// kindCall asks for parts, kindGo lets an accepted call begin, and kindEnd ends it.
 	kindCall kind = iota + 1
+	kindGo
 	kindEnd
 	// kindAccepted, kindRefused and kindPartial answer a call.
 	kindAccepted
--- a/services/gatherer/server.go
+++ b/services/gatherer/server.go
@@ -16,7 +16,7 @@
 // Collector gathers parts.
 type Collector interface {
 	// Collect is that of forwarder.Forwarder.
-	Collect(ctx context.Context, c *forwarder.Call, accept func(), emit func(forwarder.Partial)) error
+	Collect(ctx context.Context, c *forwarder.Call, accept func() bool, emit func(forwarder.Partial)) error
 }
 
 // Server takes the calls of other VMs.
@@ -39,7 +39,7 @@
 func (s *Server) ServeConn(c net.Conn) {
 	l := newLink(c, s.sealer)
 	defer l.close()
-	t := &session{s: s, link: l, calls: make(map[uint64]context.CancelCauseFunc)}
+	t := &session{s: s, link: l, calls: make(map[uint64]*taken)}
 	defer t.endAll()
 	for {
 		f, err := l.read()
@@ -60,7 +60,14 @@
 
 	mu sync.Mutex
 	// calls are those under way.
-	calls map[uint64]context.CancelCauseFunc
+	calls map[uint64]*taken
+}
+
+// taken is a call of another VM.
+type taken struct {
+	cancel context.CancelCauseFunc
+	// begin has room for one value, which lets the call begin.
+	begin chan struct{}
 }
 
 // bodyEnough is the body of a kindEnd for a call whose answer has left.
@@ -74,10 +81,13 @@
 			return err
 		}
 		ctx, cancel := context.WithCancelCause(context.Background())
+		x := &taken{cancel, make(chan struct{}, 1)}
 		t.mu.Lock()
-		t.calls[f.call] = cancel
+		t.calls[f.call] = x
 		t.mu.Unlock()
-		go t.serve(ctx, f.call, c)
+		go t.serve(ctx, f.call, x, c)
+	case kindGo:
+		t.begin(f.call)
 	case kindEnd:
 		t.end(f.call, len(f.body) == 0)
 	case kindAccepted, kindRefused, kindPartial:
@@ -85,10 +95,31 @@
 	return nil
 }
 
+// begin lets a call begin.
+func (t *session) begin(id uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if x := t.calls[id]; x != nil {
+		select {
+		case x.begin <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // serve gathers the parts of one call.
-func (t *session) serve(ctx context.Context, id uint64, c *forwarder.Call) {
+func (t *session) serve(ctx context.Context, id uint64, x *taken, c *forwarder.Call) {
 	defer t.end(id, true)
-	accept := func() { t.send(frame{kind: kindAccepted, call: id}) }
+	accept := func() bool {
+		t.send(frame{kind: kindAccepted, call: id})
+		select {
+		case <-x.begin:
+			return ctx.Err() == nil
+		case <-ctx.Done():
+		case <-time.After(time.Until(c.Deadline)):
+		}
+		return false
+	}
 	err := t.s.collector.Collect(ctx, c, accept, func(p forwarder.Partial) {
 		t.send(frame{kind: kindPartial, call: id, body: appendPartial(nil, p)})
 	})
@@ -107,16 +138,16 @@
 // end ends a call; gone is true when its caller has gone.
 func (t *session) end(id uint64, gone bool) {
 	t.mu.Lock()
-	cancel := t.calls[id]
+	x := t.calls[id]
 	delete(t.calls, id)
 	t.mu.Unlock()
-	if cancel == nil {
+	if x == nil {
 		return
 	}
 	if gone {
-		cancel(context.Canceled)
+		x.cancel(context.Canceled)
 	} else {
-		cancel(forwarder.ErrEnough)
+		x.cancel(forwarder.ErrEnough)
 	}
 }
 
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -324,7 +324,7 @@
 }
 
 // Collect implements gatherer.Collector.
-func (d *Daemon) Collect(ctx context.Context, c *forwarder.Call, accept func(), emit func(forwarder.Partial)) error {
+func (d *Daemon) Collect(ctx context.Context, c *forwarder.Call, accept func() bool, emit func(forwarder.Partial)) error {
 	if d.closing.Load() {
 		return forwarder.ErrRefused
 	}
