answerer: a request with a ticket is never called not-run by a VM that did not ask the issuer

A VM that has just started knows no services, and answered a resent request with 404 unknown-service and outcome not-run without asking the VM that issued the ticket. So did a VM at max-in-flight, and one that found deadline-ms out of range. All other refusals of the path were read: they come from the issuer or before the request was sent anywhere.

Change: a request with a ticket goes to the issuer also when the service is not known here; overload and bad-deadline answer unknown. The test fails on the code before with 404 for 200.

--- a/routers/answerer/answerer.go
+++ b/routers/answerer/answerer.go
@@ -84,7 +84,7 @@
 		ln:       ln,
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "ebonylock_refusals_total",
-			Help: "Callers' requests refused as not run, by code.",
+			Help: "Callers' requests refused by this VM, by code.",
 		}, []string{"code"}),
 	}
 	s.srv = &fasthttp.Server{
@@ -122,15 +122,19 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if s.inFlight.Add(1) > int64(s.cfg.MaxInFlight) {
-		s.inFlight.Add(-1)
-		s.refuse(ctx, fasthttp.StatusServiceUnavailable, "overload", "too many requests under way at this VM")
-		return
-	}
-	defer s.inFlight.Add(-1)
 	path := string(ctx.Path())
 	search, isSearch := strings.CutPrefix(path, "/v1/search/")
 	service, isRequest := strings.CutPrefix(path, "/v1/request/")
+	defer s.inFlight.Add(-1)
+	if s.inFlight.Add(1) > int64(s.cfg.MaxInFlight) {
+		outcome := outcomeNotRun
+		if isRequest {
+			// The body may hold a ticket that was used before.
+			outcome = outcomeUnknown
+		}
+		s.refuseWith(ctx, outcome, fasthttp.StatusServiceUnavailable, "overload", "too many requests under way at this VM")
+		return
+	}
 	switch {
 	case isSearch && ctx.IsPost():
 		s.serveSearch(ctx, search)
@@ -154,11 +158,23 @@
 	s.refuse(ctx, fasthttp.StatusBadRequest, "malformed-request", "request is not valid HTTP")
 }
 
-// refuse answers a request that was not run, and counts it by code. A refusal with status 503
-// also has the delay before a retry.
+// Outcomes of refused requests. A request with a ticket may have run when it was sent before, which
+// only the VM that issued the ticket knows.
+const (
+	outcomeNotRun  = "not-run"
+	outcomeUnknown = "unknown"
+)
+
+// refuse answers a request that was not run, and counts it by code.
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, status int, code, message string) {
+	s.refuseWith(ctx, outcomeNotRun, status, code, message)
+}
+
+// refuseWith is like refuse with the given outcome. A refusal with status 503 also has the delay
+// before a retry.
+func (s *Server) refuseWith(ctx *fasthttp.RequestCtx, outcome string, status int, code, message string) {
 	s.refusals.WithLabelValues(code).Inc()
-	w := wireRefusal{Outcome: "not-run", Error: wireError{Code: code, Message: message}}
+	w := wireRefusal{Outcome: outcome, Error: wireError{Code: code, Message: message}}
 	if status == fasthttp.StatusServiceUnavailable {
 		w.RetryAfter = retryAfterMs
 	}
@@ -221,12 +237,18 @@
 		s.refuse(ctx, fasthttp.StatusBadRequest, "malformed-body", err.Error())
 		return
 	}
+	outcome := outcomeNotRun
+	if in.Ticket != "" {
+		outcome = outcomeUnknown
+	}
 	deadline, ok := s.deadline(now, in.Deadline)
 	if !ok {
-		s.refuse(ctx, fasthttp.StatusBadRequest, "bad-deadline", "deadline-ms is out of range")
+		s.refuseWith(ctx, outcome, fasthttp.StatusBadRequest, "bad-deadline", "deadline-ms is out of range")
 		return
 	}
-	if !s.services.HasService(service) {
+	// This VM may have just started and not know the service yet. With a ticket, the VM that issued
+	// it decides.
+	if in.Ticket == "" && !s.services.HasService(service) {
 		s.refuse(ctx, fasthttp.StatusNotFound, "unknown-service", "no backend server serves this service")
 		return
 	}
--- a/routers/answerer/answerer_test.go
+++ b/routers/answerer/answerer_test.go
@@ -40,6 +40,12 @@
 func (*fakeServices) HasService(name string) bool { return name == "r" }
 
 func serve(t *testing.T, fake *fakeServices) string {
+	t.Helper()
+	_, url := listen(t, fake)
+	return url
+}
+
+func listen(t *testing.T, fake *fakeServices) (*Server, string) {
 	t.Helper()
 	s, err := Listen(Config{
 		Listen:          netip.MustParseAddrPort("127.0.0.1:0"),
@@ -53,7 +59,7 @@
 	}
 	go func() { _ = s.Serve() }()
 	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
-	return "http://" + s.Addr().String()
+	return s, "http://" + s.Addr().String()
 }
 
 func post(t *testing.T, url, body string) (int, []byte) {
@@ -126,3 +132,29 @@
 	is.Equal(status, 503)
 	is.True(bytes.Contains(raw, []byte(`"retry-after-ms":100`)))
 }
+
+// TestResentRequestIsNotCalledNotRun covers a request that has run, whose answer was lost, and which
+// the caller sends again, with its ticket, to a VM that can't serve it: one that has just started and
+// does not know the service yet, or one at its limit. Only the VM that issued the ticket knows
+// whether the request has run.
+func TestResentRequestIsNotCalledNotRun(t *testing.T) {
+	is := is.New(t)
+	fake := &fakeServices{}
+	s, url := listen(t, fake)
+	status, raw := post(t, url+"/v1/request/none", `{"request":1,"ticket":"used"}`)
+	is.Equal(status, http.StatusOK)
+	is.Equal(string(raw), `{"outcome":"done"}`)
+	is.Equal(fake.submits, 1)
+
+	outcome := func(body string) string {
+		_, raw := post(t, url+"/v1/request/r", body)
+		var w wireRefusal
+		is.NoErr(json.Unmarshal(raw, &w))
+		return w.Outcome
+	}
+	is.Equal(outcome(`{"request":1,"ticket":"used","deadline-ms":-5}`), "unknown")
+	s.inFlight.Add(int64(s.cfg.MaxInFlight))
+	is.Equal(outcome(`{"request":1,"ticket":"used"}`), "unknown")
+	is.Equal(s.inFlight.Load(), int64(s.cfg.MaxInFlight)) // a refused request is not counted
+	is.Equal(fake.submits, 1)
+}
