tuner: the heap grows by what processor time is left

Change: gcPercent 300 becomes 50 to 300, by the share of the VM's processor that the process uses (settings key vm.cores): 50 up to a fifth, 300 from three fifths on; it rises at once and falls slowly.

--- a/cmd/ebonylockd/serve_platform.go
+++ b/cmd/ebonylockd/serve_platform.go
@@ -30,10 +30,6 @@
 	}
 }
 
-// gcPercent lets the heap grow to four times the live memory before a collection. The heap is
-// small, so that the fixed cost of a collection is high in comparison.
-const gcPercent = 300
-
 // settingsPollInterval is the interval at which the settings file is checked for changes, as it
 // may change without a signal.
 const settingsPollInterval = 2 * time.Second
@@ -45,11 +41,11 @@
 		return err
 	}
 	debug.SetMemoryLimit(memoryLimit)
-	debug.SetGCPercent(gcPercent)
 	d, err := launcher.New(site, os.Stdout)
 	if err != nil {
 		return err
 	}
+	go d.TuneMemory(ctx)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go watchSettings(file, data, d, signals)
--- a/modules/loader/loader_test.go
+++ b/modules/loader/loader_test.go
@@ -37,6 +37,7 @@
 	s, err := LoadSite("site.jsonc", []byte(text))
 	is.NoErr(err)
 	is.Equal(s.VM.LinkMbps, 1000.0)
+	is.Equal(s.VM.Cores, 0.4)
 	is.Equal(s.Bounds.RetryWindow, 10*time.Second)
 	is.Equal(len(s.Peers.Seeds), 1)
 	is.True(s.FirstStart)
--- a/modules/loader/vm.go
+++ b/modules/loader/vm.go
@@ -8,6 +8,8 @@
 	DataCentre string
 	// LinkMbps is the bandwidth of the network link of the VM in Mbit/s, 0 if unknown.
 	LinkMbps float64
+	// Cores is the processor time that the VM has per second, in seconds, 0 if unknown.
+	Cores float64
 }
 
 func (s *VM) section() section {
@@ -15,5 +17,6 @@
 		"id":          text(&s.ID, true),
 		"data-centre": text(&s.DataCentre, true),
 		"link-mbps":   number(&s.LinkMbps, 0, 1<<20),
+		"cores":       number(&s.Cores, 0, 1<<10),
 	}
 }
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -21,6 +21,7 @@
 	"github.com/ebonylock/ebonylock/modules/router"
 	"github.com/ebonylock/ebonylock/modules/selector"
 	"github.com/ebonylock/ebonylock/modules/spooler"
+	"github.com/ebonylock/ebonylock/modules/tuner"
 	"github.com/ebonylock/ebonylock/platform/readier"
 	"github.com/ebonylock/ebonylock/platform/replica"
 	"github.com/ebonylock/ebonylock/platform/requester"
@@ -381,6 +382,14 @@
 	}
 }
 
+// TuneMemory adapts the size of the heap to the processor time that the VM has left, until ctx is done.
+func (d *Daemon) TuneMemory(ctx context.Context) {
+	t := tuner.Tuner{Cores: d.site.VM.Cores}
+	if err := t.Run(ctx); err != nil {
+		d.log.WithField("event", "tune").WithError(err).Error("size of the heap is not adapted to the processor any more")
+	}
+}
+
 // shutdown serves the requests that the balancer still sends, waits for running requests and leaves the
 // fleet.
 func (d *Daemon) shutdown(ctx context.Context) {
