follower: readers return to the store before their copies are stale

From its log: the store turned the two readers away at 2.2 s; their backoff ended at 2.7 s, but each followed the other reader and was held there by minFollowTime. At 3.0 s all copies were stale, all 73 VMs read the store, and each stayed at it for minFollowTime, with a call for every batch of changes.

Change: minFollowTime holds between VMs only. Between the store and other VMs a watcher changes as soon as the preferred source may be followed.

The test names the pattern (thundering herd) and fails on the code before with an outage of 400 ms.

--- a/services/follower/follower_test.go
+++ b/services/follower/follower_test.go
@@ -376,3 +376,22 @@
 		})
 	}
 }
+
+// TestShortOutageCausesNoHerd covers a store that turns all VMs away for a moment. The readers have
+// to be back at the store before their copies are stale: otherwise all VMs read the store at once, and
+// the more there are, the longer it takes until it serves them (thundering herd).
+func TestShortOutageCausesNoHerd(t *testing.T) {
+	for _, outage := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(outage.String(), func(t *testing.T) {
+			runFleet(t, func(is *is.I, fl *testFleet) {
+				fl.setFailed(fl.storeUnreachable, 0, 1, 2, 3, 4, 5, 6)
+				time.Sleep(outage)
+				fl.setFailed(fl.storeUnreachable)
+				before := fl.storeCalls()
+				is.True(fl.writeConfig(2) < maxPropagation)
+				time.Sleep(10 * time.Second)
+				is.True(fl.storeCalls()-before < 2*15) // the two readers alone, about one call a second each
+			})
+		})
+	}
+}
--- a/services/follower/watcher.go
+++ b/services/follower/watcher.go
@@ -35,11 +35,22 @@
 	// storeBatchDelay is the delay after a watch of the store that found changes, so that the next
 	// watch returns several changes at once.
 	storeBatchDelay = 200 * time.Millisecond
-	// minFollowTime is the time for which a source is followed before the watcher may return to a
-	// preferred one.
+	// minFollowTime is the time for which another VM is followed before the watcher may return to a
+	// preferred VM.
 	minFollowTime = 2 * time.Second
 )
 
+// leastFollowTime returns the time for which a source is followed before the watcher may change to a
+// preferred one. There is none between the store and other VMs: a reader returns to the store before
+// its copy is stale, as otherwise all VMs read the store, and a VM that is no reader leaves the
+// store, whose calls are paid for, as soon as it may.
+func leastFollowTime(s, preferred NamedSource) time.Duration {
+	if s.IsStore != preferred.IsStore {
+		return 0
+	}
+	return minFollowTime
+}
+
 // errPreferred is returned if a source was left for a preferred one.
 var errPreferred = errors.New("preferred source available")
 
@@ -207,7 +218,7 @@
 		if s.IsStore && len(b.Items) > 0 {
 			pauser.Pause(ctx, storeBatchDelay)
 		}
-		if better, ok := w.pickSource(now); ok && better.Name != s.Name && now.Sub(began) > minFollowTime {
+		if better, ok := w.pickSource(now); ok && better.Name != s.Name && now.Sub(began) > leastFollowTime(s, better) {
 			return errPreferred
 		}
 	}
