decider: one package decides; saturated, silent and dead shards are told apart

A crashed replica was preferred to it besides (its usual time is shorter).

The decisions move to modules/decider: estimates, counts and times in, choices out.

--- a/modules/ranker/ranker.go
+++ b/modules/ranker/ranker.go
@@ -39,8 +39,10 @@
 	failureWeight = 0.4
 	// failurePenalty is the cost of a failure rate of 1, as a multiple of the target latency.
 	failurePenalty = 2
-	// loadHalfLife is the half-life of the load that a replica reported.
-	loadHalfLife = 60 * time.Millisecond
+	// loadHalfLife is the half-life of the load that a replica reported. At a slow replica a queue
+	// lasts longer: there it is the time of loadHalfLifeRuns runs.
+	loadHalfLife     = 60 * time.Millisecond
+	loadHalfLifeRuns = 2
 	// minEjection and maxEjection bound the time for which an unreachable replica is ejected.
 	// The time doubles with each further ejection until it replies.
 	minEjection = 200 * time.Millisecond
@@ -56,6 +58,8 @@
 	deadAfter = 2
 	// ejectedPenalty is added to the expected latency of an ejected replica, so that it is a last resort.
 	ejectedPenalty = 10 * time.Second
+	// deadPenalty is added besides if it is known to be down, so that one that is only silent is preferred.
+	deadPenalty = time.Minute
 	// initialMeanShare is the mean of a workload without samples, as a share of the target latency.
 	initialMeanShare = 0.15
 	// overdueDeviations is the number of deviations above the mean after which a run is overdue.
@@ -78,8 +82,8 @@
 	// Unreachable is a connection that was refused or lost, or a reply by another process at the
 	// replica's address.
 	Unreachable
-	// NoReply is a run that was abandoned without a reply. It counts as Unreachable unless the
-	// replica has replied to another request since the run started.
+	// NoReply is a run that was abandoned without a reply. It counts as Unreachable if the replica
+	// has usually replied by then, and has not replied to another request since the run started.
 	NoReply
 	// Inconclusive says nothing about the replica.
 	Inconclusive
@@ -110,6 +114,9 @@
 	LastRun time.Time
 	// Running is the number of runs that this VM has in progress at the replica.
 	Running int
+	// Response is the mean time of the replica's runs over all workloads, the time in its queue
+	// included; 0 if there were none.
+	Response time.Duration
 	// LastReply is the time of the replica's last reply; zero if there was none.
 	LastReply time.Time
 	// Suspect is true if the replica was unreachable and has not replied since.
@@ -118,6 +125,9 @@
 	Ejected bool
 	// Dead is true for an ejected replica that was ejected more than once without a reply in between.
 	Dead bool
+	// Silence is set if Dead is true for runs without a reply alone, with no connection refused or
+	// lost: the replica may only be slow. It is the longest time for which a run has had no reply.
+	Silence time.Duration
 }
 
 // Change is the change of a replica's state at the end of a run.
@@ -167,6 +177,8 @@
 // replicaStats are the statistics of one replica.
 type replicaStats struct {
 	averages map[Workload]*average
+	// responses is the average over all workloads.
+	responses average
 	// starts are the start times of the runs in progress, oldest first.
 	starts []time.Time
 	// failureRate is the moving average of failures at failedAt, from 0 to 1.
@@ -177,6 +189,9 @@
 	// ejections is the number of ejections since the last reply, which came at lastReply.
 	ejections int
 	lastReply time.Time
+	// silence is the longest time for which a run got no reply since lastReply, if all ejections since
+	// then were for such runs; otherwise it is 0.
+	silence time.Duration
 	// ejectedUntil is the end of the ejection.
 	ejectedUntil time.Time
 	lastUsed     time.Time
@@ -271,6 +286,8 @@
 	// Duration is the time from sending the request to the end of the run; 0 if it was not sent.
 	Duration time.Duration
 	Outcome  Outcome
+	// Slots is the number of slots of the replica.
+	Slots int
 	// Load is nil if the replica reported none.
 	Load *Load
 }
@@ -289,13 +306,17 @@
 		o := run.Outcome
 		if o == NoReply {
 			o = Unreachable
-			if e.lastReply.After(run.Started) {
+			if e.lastReply.After(run.Started) || now.Sub(run.Started) <= e.longestUsual(w, prior, run.Slots, now) {
 				o = Inconclusive
 			}
 		}
+		if o == Unreachable {
+			e.recordSilence(run, now)
+		}
 		change = e.recordOutcome(o, halfLife, now)
 		if o == Served || (o == Inconclusive && took > e.average(w).mean) {
 			e.average(w).add(took, now)
+			e.responses.add(took, now)
 		}
 	})
 	if run.Outcome == Served {
@@ -316,6 +337,40 @@
 	return a
 }
 
+// recordSilence records whether a run that ends an attempt to reach the replica was only silent. It
+// must be called before the ejection is counted.
+func (e *replicaStats) recordSilence(run Result, now time.Time) {
+	switch {
+	case run.Outcome != NoReply:
+		e.silence = 0
+	case e.ejections == 0:
+		e.silence = now.Sub(run.Started)
+	case e.silence > 0:
+		e.silence = max(e.silence, now.Sub(run.Started))
+	}
+}
+
+// longestUsual returns the time within which the replica usually replies to a run of workload w, the
+// runs that wait there included.
+func (e *replicaStats) longestUsual(w Workload, prior average, slots int, now time.Time) time.Duration {
+	mean, deviation := prior.mean, prior.deviation
+	if a := e.averages[w]; a != nil && a.runs > 0 {
+		mean, deviation = a.mean, a.deviation
+	}
+	deviation = max(deviation, minDeviationShare*mean)
+	return seconds((mean + overdueDeviations*deviation) * e.queueFactor(mean, slots, now))
+}
+
+// queueFactor returns by how much the runs that wait at the replica lengthen another run, at least 1.
+// It takes the load that the replica reported last or the runs of this VM, whichever is more. mean
+// is the time of a run in seconds.
+func (e *replicaStats) queueFactor(mean float64, slots int, now time.Time) float64 {
+	reported := float64(e.load.Waiting + max(e.load.Running-e.load.Slots+1, 0))
+	reported *= decay(now.Sub(e.loadAt), max(loadHalfLife, seconds(loadHalfLifeRuns*mean)))
+	waiting := max(reported, float64(len(e.starts)-slots+1), 0)
+	return 1 + waiting/float64(max(slots, 1))
+}
+
 func (e *replicaStats) removeStart(started time.Time) {
 	for i, t := range e.starts {
 		if t.Equal(started) {
@@ -406,20 +461,27 @@
 		mean = max(mean, verdict.LatencyRatio*prior.mean)
 	}
 	deviation = max(deviation, minDeviationShare*mean)
-	waiting := float64(e.load.Waiting+max(e.load.Running-e.load.Slots+1, 0)) * decay(now.Sub(e.loadAt), loadHalfLife)
-	waiting = max(waiting, float64(len(e.starts)-slots+1))
-	expected := mean * (1 + max(waiting, 0)/float64(max(slots, 1)))
+	expected := mean * e.queueFactor(mean, slots, now)
 	expected += e.overdue(mean+overdueDeviations*deviation, now)
 	expected += failurePenalty * max(e.failureRateAt(prior.halfLife(failureHalfLife), now), verdict.FailureRate) * w.TargetLatency.Seconds()
 	out.Expected, out.Mean, out.Deviation = seconds(expected), seconds(mean), seconds(deviation)
 	out.ServiceMean = seconds(prior.mean)
-	out.LastReply = e.lastReply
+	out.LastReply, out.Response = e.lastReply, seconds(e.responses.mean)
 	out.Running, out.Suspect = len(e.starts), e.ejections > 0
 	// After the ejection, one run at a time probes whether a suspect has recovered.
 	out.Ejected = e.ejections > 0 && (now.Before(e.ejectedUntil) || len(e.starts) > 0)
 	if out.Ejected {
 		out.Expected += ejectedPenalty
 		out.Dead = e.ejections >= deadAfter
+		switch {
+		case !out.Dead:
+		case e.silence == 0:
+			out.Expected += deadPenalty
+		case len(e.starts) > 0:
+			out.Silence = max(e.silence, now.Sub(e.starts[0]))
+		default:
+			out.Silence = e.silence
+		}
 	}
 	return out
 }
--- a/services/forwarder/attempt.go
+++ b/services/forwarder/attempt.go
@@ -58,7 +58,7 @@
 // Done implements SendHandler.
 func (a *attempt) Done(reply *Reply, err error) {
 	fl, now := a.fl, time.Now()
-	run := ranker.Result{Started: a.began, Outcome: fl.replicaOutcome(reply, err)}
+	run := ranker.Result{Started: a.began, Outcome: fl.replicaOutcome(reply, err), Slots: a.to.Slots}
 	if reply != nil {
 		run.Load = reply.Load
 	}
--- a/services/forwarder/fanout.go
+++ b/services/forwarder/fanout.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/ebonylock/ebonylock/modules/decider"
 	"github.com/ebonylock/ebonylock/modules/merger"
 	"github.com/ebonylock/ebonylock/modules/selector"
 )
@@ -19,7 +20,7 @@
 	maxHops = 3
 	// singleAttemptTime is the time after its start within which a VM is assumed to have sent no
 	// hedge.
-	singleAttemptTime = minHedgeDelay
+	singleAttemptTime = decider.MinHedgeDelay
 	// partialMargin is the processing time for a partial response on the sending and the receiving
 	// VM.
 	partialMargin = time.Millisecond
@@ -67,7 +68,7 @@
 		case fo.received >= fo.minParts && (fo.received+fo.lost == n || !now.Before(cutoff)):
 			return fo.mergedResponse()
 		case n-fo.lost < fo.minParts:
-			return fo.failedResponse(http.StatusBadGateway, max(fo.retryAfter, defaultRetryAfter))
+			return fo.failedResponse(http.StatusBadGateway, max(fo.retryAfter, decider.DefaultRetryAfter))
 		case !now.Before(limit):
 			return fo.failedResponse(http.StatusGatewayTimeout, 0)
 		}
@@ -215,7 +216,7 @@
 	case len(remaining) == 0:
 	case ran >= max(fo.fl.route.MaxAttempts, 1):
 		fo.lost += len(remaining)
-		fo.reasons = append(fo.reasons, reasonAttempts)
+		fo.reasons = append(fo.reasons, decider.Attempts)
 	default:
 		fo.callVM(h.to.DataCentre, remaining, h.tried, ran)
 	}
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ebonylock/ebonylock/modules/budgeter"
+	"github.com/ebonylock/ebonylock/modules/decider"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/ranker"
 	"github.com/ebonylock/ebonylock/modules/registrar"
@@ -19,9 +20,6 @@
 	// replyGrace is the time after the deadline in which a replica may still report that it
 	// stopped.
 	replyGrace = 150 * time.Millisecond
-	// maxNotRunSends is the number of sends for a part that replicas may refuse or that may fail
-	// before leaving this VM, in addition to the attempts that run.
-	maxNotRunSends = 2
 	// lingerTargets and minLinger limit how long an attempt may continue after the response was
 	// sent without it: lingerTargets target latencies or minLinger, whichever is longer. It is not
 	// cancelled at once, because cancelling it would break its connection.
@@ -62,6 +60,9 @@
 	// done is true once the part has a reply or was given up.
 	done   bool
 	reason string
+	// roomAfter is the time after which there is room for the part at its replicas, if reason is
+	// decider.Saturated.
+	roomAfter time.Duration
 	// notNeeded is set once the part needs no further reply. Senders read it from other
 	// goroutines.
 	notNeeded atomic.Bool
@@ -272,23 +273,24 @@
 // progress, it gives the part up.
 func (fl *flight) sendBest(p *part, hedge bool) {
 	now := time.Now()
-	c, estimate := fl.f.bestReplica(p.list, p.tried, p.work, p.conns, p.coldLimited, now)
-	fl.send(p, c, estimate, hedge, now)
+	fl.send(p, p.bestReplica(fl.f, p.tried, now), hedge, now)
 }
 
-// send is like sendBest for a replica that was already chosen; c is nil if there is none.
-func (fl *flight) send(p *part, c *registrar.Candidate, estimate ranker.Estimate, hedge bool, now time.Time) {
-	if reason := fl.declineReason(p, c, estimate, hedge, now); reason != "" {
+// send is like sendBest for a replica that was already chosen.
+func (fl *flight) send(p *part, chosen choice, hedge bool, now time.Time) {
+	if reason := fl.declineReason(p, chosen, hedge, now); reason != "" {
 		fl.f.metrics.declined.WithLabelValues(reason).Inc()
-		switch recheck := now.Add(hedgeRecheck); {
-		case reason == reasonReserved && recheck.Before(fl.cutoff()):
+		switch recheck := now.Add(decider.Recheck); {
+		case reason == decider.Reserved && recheck.Before(fl.cutoff()):
 			p.nextAttemptAt = recheck
 			fl.setWaiting(p, p.inFlight == 0)
 		case p.inFlight == 0:
 			fl.giveUp(p, reason)
+			fl.recallLeftOut()
 		}
 		return
 	}
+	c := chosen.to
 	fl.setWaiting(p, false)
 	p.tried = append(p.tried, c.ID)
 	a := &attempt{fl: fl, part: p, to: c, began: now, hedge: hedge}
@@ -298,7 +300,7 @@
 	p.attempts = append(p.attempts, a)
 	p.inFlight++
 	if !hedge && p.ran == 0 && fl.route.Idempotent && fl.route.MaxAttempts > 1 {
-		p.nextAttemptAt = now.Add(fl.hedgeDelay(p, estimate, now))
+		p.nextAttemptAt = now.Add(decider.HedgeDelay(chosen.Replica, p.budget.Remaining(now), fl.times(now)))
 	}
 	fl.f.metrics.sends[a.kind()].Inc()
 	fl.f.ranks.Begin(c.Key, now)
@@ -355,7 +357,7 @@
 		return
 	}
 	if !notRun && !fl.route.Idempotent {
-		fl.giveUp(p, reasonMayHaveRun)
+		fl.giveUp(p, decider.MayHaveRun)
 		return
 	}
 	p.nextAttemptAt = time.Time{}
@@ -368,3 +370,19 @@
 	fl.setWaiting(p, false)
 	p.notNeeded.Store(true)
 }
+
+// recallLeftOut sends the parts that were left out because they would be late, if there is no response
+// without them any more.
+func (fl *flight) recallLeftOut() {
+	for _, p := range fl.parts {
+		if len(fl.parts)-fl.done+fl.replied >= fl.minParts {
+			return
+		}
+		if p.done && p.reason == decider.TooSlow && len(p.attempts) == 0 {
+			p.done, p.reason = false, ""
+			p.notNeeded.Store(false)
+			fl.done--
+			fl.sendBest(p, false)
+		}
+	}
+}
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,9 +10,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/ebonylock/ebonylock/modules/budgeter"
+	"github.com/ebonylock/ebonylock/modules/decider"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/ranker"
-	"github.com/ebonylock/ebonylock/modules/registrar"
 	"github.com/ebonylock/ebonylock/modules/router"
 	"github.com/ebonylock/ebonylock/modules/selector"
 )
@@ -50,11 +49,6 @@
 const (
 	// defaultCallerTimeout applies to requests of callers that do not say how long they wait.
 	defaultCallerTimeout = 10 * time.Second
-	// defaultRetryAfter is the Retry-After delay when the configuration or replicas are missing.
-	defaultRetryAfter = 250 * time.Millisecond
-	// maxRetryAfterShare is the largest share of its remaining time for which a caller follows a
-	// Retry-After, as defined by the platform's protocol.
-	maxRetryAfterShare = 1.0 / 3
 	// slackShare is the used share of the slack of the retry budget. The rest covers VMs that have
 	// just started or have not discovered each other yet.
 	slackShare = 0.75
@@ -69,13 +63,6 @@
 	ratioShare = 0.95
 	// connShare is the share of a replica's connection limit that the VMs divide among themselves.
 	connShare = 0.9
-	// remotePenalty is added to the expected time of a replica in another data centre, as a share
-	// of the target latency. It stands for the cost of traffic between data centres.
-	remotePenalty = 0.2
-	// missingPenalty is added to the expected time of a replica whose entry is missing.
-	missingPenalty = time.Minute
-	// coldPenalty is added to the expected time of a cold replica whose request rate is limited.
-	coldPenalty = 30 * time.Second
 	// sharedStatsDelay is the time after a start during which observations of other VMs are
 	// ignored. When many VMs start at once, these observations reflect the load of the restart
 	// itself.
@@ -83,8 +70,6 @@
 	// gathererShare is the share of connections and extra sends divided among the gatherers. The
 	// rest is for VMs that can't reach any gatherer.
 	gathererShare = 0.85
-	// noConnPenalty is added to the expected time of a replica without a free connection.
-	noConnPenalty = 5 * time.Second
 )
 
 // Forwarder serves requests. It is safe for concurrent use.
@@ -127,7 +112,7 @@
 func (f *Forwarder) Serve(ctx context.Context, r *Request) Response {
 	state := f.states.State()
 	if state == nil {
-		return f.withRecord(nil, r, notRunResponse(defaultRetryAfter), outcomeNoConfig)
+		return f.withRecord(nil, r, notRunResponse(decider.DefaultRetryAfter), outcomeNoConfig)
 	}
 	m := state.Table.Match(r.Host, r.Path)
 	if m == nil {
@@ -159,9 +144,9 @@
 	case n == 0:
 		resp = fl.single(m.Service())
 	case sel.Direct:
-		resp = fl.gather(m.Shards, minShards(m.MinShardShare, n))
+		resp = fl.gather(m.Shards, decider.MinShards(m.MinShardShare, n))
 	default:
-		resp = newFanout(fl, sel, minShards(m.MinShardShare, n)).run()
+		resp = newFanout(fl, sel, decider.MinShards(m.MinShardShare, n)).run()
 	}
 	return f.withRecord(fl, r, resp, fl.outcome(&resp))
 }
@@ -274,41 +259,9 @@
 // defaultConns is the number of connections to each replica of a service without a limit.
 const defaultConns = 8
 
-// bestReplica returns the replica with the shortest expected time that is not in tried, and its
-// estimate. conns is the number of connections that this VM may have to each replica. coldLimited
-// is true if the request rate of cold replicas is limited. It returns nil if no replica is left.
-func (f *Forwarder) bestReplica(list []*registrar.Candidate, tried []string, w ranker.Workload, conns int, coldLimited bool, now time.Time) (*registrar.Candidate, ranker.Estimate) {
-	var best *registrar.Candidate
-	var estimate ranker.Estimate
-	var lowest time.Duration
-	for _, c := range list {
-		if slices.Contains(tried, c.ID) {
-			continue
-		}
-		est := f.ranks.Estimate(c.Key, c.Slots, w, now)
-		cost := est.Expected
-		if c.DataCentre != f.cfg.DataCentre {
-			cost += time.Duration(remotePenalty * float64(w.TargetLatency))
-		}
-		if est.Running >= conns {
-			cost += noConnPenalty
-		}
-		if coldLimited && now.Before(c.ColdUntil) {
-			cost += coldPenalty
-		}
-		if c.Missing {
-			cost += missingPenalty
-		}
-		if best == nil || cost < lowest {
-			best, estimate, lowest = c, est, cost
-		}
-	}
-	return best, estimate
-}
-
 // Refuse returns the response to a request that arrives while the VM is stopping.
 func (f *Forwarder) Refuse(r *Request) Response {
-	return f.withRecord(nil, r, notRunResponse(defaultRetryAfter), outcomeStopping)
+	return f.withRecord(nil, r, notRunResponse(decider.DefaultRetryAfter), outcomeStopping)
 }
 
 // Forget drops the statistics of replicas that were last used earlier than before.
--- a/services/forwarder/forwarder_test.go
+++ b/services/forwarder/forwarder_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"github.com/ebonylock/ebonylock/modules/decider"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/ranker"
 	"github.com/ebonylock/ebonylock/modules/registrar"
@@ -141,7 +142,7 @@
 	cfg := router.Config{Version: 7, Services: map[string]router.Service{}}
 	view := &registrar.View{Services: map[string][]*registrar.Candidate{}}
 	sweep := router.Route{
-		Name: "sweep", Host: "h", Prefix: "/sweep/", Idempotent: true, Timeout: 400 * time.Millisecond,
+		Name: "sweep", Host: "h", Prefix: "/sweep/", Idempotent: true, Timeout: 3 * time.Second,
 		TargetLatency: target, MaxAttempts: 2, TopK: 5, MinShardShare: 0.89,
 	}
 	port := uint16(1)
@@ -169,7 +170,9 @@
 	read, write := single, single
 	read.Name, read.Prefix, read.Idempotent = "read", "/read/", true
 	write.Name, write.Prefix = "write", "/write/"
-	cfg.Routes = []router.Route{sweep, read, write}
+	claim := sweep
+	claim.Name, claim.Prefix, claim.MinShardShare = "claim", "/claim/", 0.75
+	cfg.Routes = []router.Route{sweep, claim, read, write}
 	return &State{Table: router.New(cfg), View: view, VMs: vms}
 }
 
@@ -323,14 +326,14 @@
 		for range 60 {
 			a := f.Serve(context.Background(), request("/sweep/x", 3*time.Second))
 			if a.Status == http.StatusServiceUnavailable {
-				is.True(a.RetryAfter >= last/2 && a.RetryAfter >= defaultRetryAfter)
+				is.True(a.RetryAfter >= last/2 && a.RetryAfter >= decider.DefaultRetryAfter)
 				last = a.RetryAfter
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
 		is.Equal(last, time.Second) // a third of three seconds
 		a := f.Serve(context.Background(), request("/sweep/x", 300*time.Millisecond))
-		is.Equal(a.RetryAfter, defaultRetryAfter)
+		is.Equal(a.RetryAfter, decider.DefaultRetryAfter)
 	})
 }
 
@@ -444,15 +447,15 @@
 		p.budget.Deposit(10, now)
 		p.budget.Spend(7, now)
 		p.sent, p.ran = 1, 1
-		c, estimate := f.bestReplica(p.list, nil, p.work, p.conns, false, now)
-		is.Equal(fl.declineReason(p, c, estimate, false, now), reasonReserved)
-		fl.giveUp(other, reasonUnhealthy)
-		is.Equal(fl.declineReason(p, c, estimate, false, now), "")
+		c := p.bestReplica(f, nil, now)
+		is.Equal(fl.declineReason(p, c, false, now), decider.Reserved)
+		fl.giveUp(other, decider.Unhealthy)
+		is.Equal(fl.declineReason(p, c, false, now), "")
 	})
 }
 
 // drainBudgets sends some requests and then spends the budgets of all shards until less than half
-// of reservedShare is left.
+// of decider.ReservedShare is left.
 func drainBudgets(f *Forwarder) {
 	for range 20 {
 		sweep(f)
@@ -460,7 +463,7 @@
 	}
 	for i := range shards {
 		b := f.budget(fmt.Sprintf("shard-%d", i), 1.0/7, time.Now())
-		for b.Remaining(time.Now()) >= reservedShare/2 {
+		for b.Remaining(time.Now()) >= decider.ReservedShare/2 {
 			b.Spend(1, time.Now())
 		}
 	}
@@ -761,16 +764,6 @@
 	is.True(len(u.counts) <= maxTimeoutValues+1)
 }
 
-func TestMinShards(t *testing.T) {
-	is := is.New(t)
-	is.Equal(minShards(0.89, 10), 9)
-	is.Equal(minShards(0.75, 10), 8)
-	is.Equal(minShards(0.89, 15), 14)
-	is.Equal(minShards(0.8, 10), 8)
-	is.Equal(minShards(0, 10), 1)
-	is.Equal(minShards(1, 3), 3)
-}
-
 func TestConnectionQuota(t *testing.T) {
 	is := is.New(t)
 	s := testState(7)
--- a/services/forwarder/groups.go
+++ b/services/forwarder/groups.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/ebonylock/ebonylock/modules/decider"
 	"github.com/ebonylock/ebonylock/modules/selector"
 )
 
@@ -23,7 +24,7 @@
 		list := fo.fl.state.View.Services[service]
 		if len(list) == 0 {
 			fo.lost++
-			fo.reasons = append(fo.reasons, reasonNoReplica)
+			fo.reasons = append(fo.reasons, decider.NoReplica)
 			continue
 		}
 		remaining = append(remaining, i)
--- a/services/forwarder/policy.go
+++ b/services/forwarder/policy.go
@@ -1,173 +1,91 @@
 package forwarder
 
 import (
-	"math"
+	"slices"
 	"time"
 
-	"github.com/ebonylock/ebonylock/modules/ranker"
+	"github.com/ebonylock/ebonylock/modules/decider"
 	"github.com/ebonylock/ebonylock/modules/registrar"
 )
 
-const (
-	// minHedgeDelay is the minimum delay before a hedge.
-	minHedgeDelay = 3 * time.Millisecond
-	// fullBudgetDeviations and emptyBudgetDeviations are the number of deviations above the mean
-	// after which a hedge is sent with a full and with an empty budget. In between the number
-	// changes linearly.
-	fullBudgetDeviations  = 1.5
-	emptyBudgetDeviations = 5
-	// hedgeTimeReserve is the time allowed for a hedge in addition to the usual time of its
-	// service.
-	hedgeTimeReserve = 6 * time.Millisecond
-	// hedgeRecheck is the delay before an attempt that was deferred for the budget is considered
-	// again.
-	hedgeRecheck = 5 * time.Millisecond
-	// reservedShare is the share of the budget that is reserved for parts without which there
-	// would be no response.
-	reservedShare = 0.4
-	// tooSlowFactor is the ratio of a replica's mean time to the remaining time above which a part
-	// is expected to be late.
-	tooSlowFactor = 1.2
-	// minKnownRuns and maxEvidenceAge define when a replica is known to be slow: it needs that
-	// many runs, the last one not older than that. Otherwise it is tried, so that a replica that
-	// has recovered is noticed.
-	minKnownRuns   = 4
-	maxEvidenceAge = 300 * time.Millisecond
-)
+// choice is a replica that was chosen for a part; its Replica is nil if there is none.
+type choice struct {
+	*decider.Replica
+	to *registrar.Candidate
+}
 
-// Reasons against an attempt, and for parts without a reply. They are stable codes used in logs and
-// metrics.
-const (
-	reasonNoReplica  = "no-replica"
-	reasonNoOther    = "no-other-replica"
-	reasonAttempts   = "attempts"
-	reasonRefused    = "refused"
-	reasonUnhealthy  = "no-sound-replica"
-	reasonBudget     = "budget"
-	reasonReserved   = "budget-reserved"
-	reasonTooSlow    = "too-slow"
-	reasonNoReply    = "no-reply-yet"
-	reasonMayHaveRun = "may-have-run"
-	reasonNoAnswer   = "no-answer-without-others"
-)
+// bestReplica returns the replica with the lowest cost that is not in tried.
+func (p *part) bestReplica(f *Forwarder, tried []string, now time.Time) choice {
+	var best choice
+	var lowest time.Duration
+	for _, c := range p.list {
+		if slices.Contains(tried, c.ID) {
+			continue
+		}
+		r := decider.Replica{
+			Estimate: f.ranks.Estimate(c.Key, c.Slots, p.work, now), Conns: p.conns, Missing: c.Missing,
+			Remote: c.DataCentre != f.cfg.DataCentre, LimitedCold: p.coldLimited && now.Before(c.ColdUntil),
+		}
+		if cost := r.Cost(p.work.TargetLatency); best.Replica == nil || cost < lowest {
+			chosen := r // only the best ones are allocated
+			best, lowest = choice{&chosen, c}, cost
+		}
+	}
+	return best
+}
 
-// minShards returns the number of shards required for a response: the smallest one whose share is
-// at least the given one.
-func minShards(share float64, shards int) int {
-	// In floating point a product such as 0.8*10 may be slightly above 8.
-	return max(int(math.Ceil(share*float64(shards)-1e-9)), 1)
+// times returns the times that bound decisions at now.
+func (fl *flight) times(now time.Time) decider.Times {
+	return decider.Times{Now: now, Cutoff: fl.cutoff(), Deadline: fl.deadline}
 }
 
-// sendAll sends all parts. It gives up the parts whose replicas are all dead, and those expected to
-// be late as long as there is a response without them.
+// sendAll sends all parts but those that are left out.
 func (fl *flight) sendAll() {
 	now := time.Now()
-	remaining := fl.cutoff().Sub(now)
-	var slow []*part
-	unavailable := 0
 	choices := make([]choice, len(fl.parts))
+	best := make([]*decider.Replica, len(fl.parts))
 	for i, p := range fl.parts {
-		c, estimate := fl.f.bestReplica(p.list, nil, p.work, p.conns, p.coldLimited, now)
-		choices[i] = choice{c, estimate}
-		switch {
-		case c == nil:
-			fl.giveUp(p, reasonNoReplica)
-			unavailable++
-		case estimate.Dead:
-			fl.giveUp(p, reasonUnhealthy)
-			unavailable++
-		case remaining > 0 && tooSlow(estimate, remaining, now):
-			slow = append(slow, p)
-		}
+		choices[i] = p.bestReplica(fl.f, nil, now)
+		best[i] = choices[i].Replica
 	}
-	if unavailable+fl.minViable > len(fl.parts) {
-		for _, p := range fl.parts {
-			if !p.done {
-				fl.giveUp(p, reasonNoAnswer)
-			}
-		}
-		return
-	}
-	if unavailable+len(slow)+fl.minParts <= len(fl.parts) {
-		for _, p := range slow {
-			fl.giveUp(p, reasonTooSlow)
+	need := decider.Need{MinParts: fl.minParts, MinViable: fl.minViable}
+	for i, d := range decider.PlanParts(best, need, fl.times(now)) {
+		if d.Reason != "" {
+			fl.parts[i].roomAfter = d.RoomAfter
+			fl.giveUp(fl.parts[i], d.Reason)
 		}
 	}
 	for i, p := range fl.parts {
-		if !p.done {
-			fl.send(p, choices[i].replica, choices[i].estimate, false, now)
+		if !p.done && len(p.attempts) == 0 {
+			fl.send(p, choices[i], false, now)
 		}
 	}
 }
 
-// choice is the replica chosen for a part, and its estimate.
-type choice struct {
-	replica  *registrar.Candidate
-	estimate ranker.Estimate
-}
-
-// tooSlow reports whether a replica is known to need more than the remaining time.
-func tooSlow(estimate ranker.Estimate, remaining time.Duration, now time.Time) bool {
-	return estimate.Runs >= minKnownRuns && now.Sub(estimate.LastRun) < maxEvidenceAge && float64(estimate.Mean) > tooSlowFactor*float64(remaining)
-}
-
-// required reports whether there is no response in time without p, counting as lost the parts that
-// were given up or wait for the budget. From the last recheck at which another attempt could still
-// be in time, all parts without a reply count as lost.
-func (fl *flight) required(p *part, estimate ranker.Estimate, now time.Time) bool {
-	lost := fl.done - fl.replied + fl.waiting
-	if p.waiting {
-		lost--
+// required reports whether there is no response in time without p.
+func (fl *flight) required(p *part, r *decider.Replica, now time.Time) bool {
+	progress := decider.Progress{
+		Parts: len(fl.parts), Replied: fl.replied, GivenUp: fl.done - fl.replied, Waiting: fl.waiting, MinParts: fl.minParts,
 	}
-	if !now.Add(hedgeRecheck).Before(fl.latestStart(estimate)) {
-		lost = len(fl.parts) - fl.replied - 1
+	if p.waiting {
+		progress.Waiting--
 	}
-	return lost+1+fl.minParts > len(fl.parts)
-}
-
-// latestStart returns the latest time at which an attempt on a typical replica can start and still
-// be in time.
-func (fl *flight) latestStart(estimate ranker.Estimate) time.Time {
-	return fl.cutoff().Add(-estimate.ServiceMean - hedgeTimeReserve)
+	return progress.Required(r, fl.times(now))
 }
 
 // declineReason returns the reason against another attempt, or an empty string if it may be sent.
 // In that case it has withdrawn the attempt from the budget if it is an extra send.
-func (fl *flight) declineReason(p *part, c *registrar.Candidate, estimate ranker.Estimate, hedge bool, now time.Time) string {
-	extra := p.sent+p.inFlight > 0
-	switch {
-	case c == nil && len(p.tried) == 0:
-		return reasonNoReplica
-	case c == nil:
-		return reasonNoOther
-	case p.ran+p.inFlight >= max(fl.route.MaxAttempts, 1):
-		return reasonAttempts
-	case p.notRun > maxNotRunSends:
-		return reasonRefused
-	case estimate.Ejected && (hedge || estimate.Dead):
-		return reasonUnhealthy
-	case extra && p.budget.Remaining(now) < reservedShare && !fl.required(p, estimate, now):
-		return reasonReserved
-	case extra && !p.budget.Withdraw(now):
-		return reasonBudget
+func (fl *flight) declineReason(p *part, c choice, hedge bool, now time.Time) string {
+	a := decider.Attempt{
+		Replica: c.Replica, Hedge: hedge, Extra: p.sent+p.inFlight > 0, BudgetLeft: p.budget.Remaining(now),
+		Tried: len(p.tried), Running: p.ran + p.inFlight, NotRun: p.notRun, MaxAttempts: fl.route.MaxAttempts,
+		Required: c.Replica != nil && fl.required(p, c.Replica, now),
 	}
-	return ""
-}
-
-// hedgeDelay returns the delay before a second replica is asked as well. It grows as the budget
-// empties, but where possible it leaves the hedge enough time to meet the target.
-func (fl *flight) hedgeDelay(p *part, estimate ranker.Estimate, now time.Time) time.Duration {
-	if estimate.Suspect {
-		return minHedgeDelay
+	if reason := a.Decline(fl.times(now)); reason != "" {
+		return reason
 	}
-	spent := 1 - p.budget.Remaining(now)
-	deviations := fullBudgetDeviations + (emptyBudgetDeviations-fullBudgetDeviations)*spent
-	// A replica slower than the average of its service gets no more time than the others.
-	mean := min(estimate.Mean, estimate.ServiceMean)
-	delay := mean + time.Duration(deviations*float64(min(estimate.Deviation, estimate.ServiceMean)))
-	latest := fl.latestStart(estimate).Sub(now)
-	if latest < delay && latest > mean {
-		delay = latest
+	if a.Extra && !p.budget.Withdraw(now) {
+		return decider.Budget
 	}
-	return max(delay, minHedgeDelay)
+	return ""
 }
--- a/services/forwarder/record.go
+++ b/services/forwarder/record.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/ebonylock/ebonylock/modules/decider"
 	"github.com/ebonylock/ebonylock/modules/ranker"
 )
 
@@ -129,9 +130,9 @@
 func (p *part) missingReason() string {
 	switch {
 	case p.waiting:
-		return reasonReserved
+		return decider.Reserved
 	case !p.done:
-		return reasonNoReply
+		return decider.NoReply
 	}
 	return p.reason
 }
--- a/services/forwarder/responses.go
+++ b/services/forwarder/responses.go
@@ -2,9 +2,9 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
+	"github.com/ebonylock/ebonylock/modules/decider"
 	"github.com/ebonylock/ebonylock/modules/merger"
 )
 
@@ -49,17 +49,15 @@
 func (fl *flight) retryAfter(now time.Time) time.Duration {
 	var outages []time.Duration
 	for _, p := range fl.parts {
-		if p.done && p.reply == nil && p.reason == reasonUnhealthy {
+		switch {
+		case !p.done || p.reply != nil:
+		case p.reason == decider.Unhealthy:
 			outages = append(outages, fl.outageDuration(p, now))
+		case p.reason == decider.Saturated:
+			outages = append(outages, p.roomAfter)
 		}
 	}
-	recoveries := len(outages) - (len(fl.parts) - fl.minViable)
-	if recoveries <= 0 {
-		return defaultRetryAfter
-	}
-	slices.Sort(outages)
-	longest := max(time.Duration(maxRetryAfterShare*float64(fl.callerTimeout())), defaultRetryAfter)
-	return min(max(outages[recoveries-1], defaultRetryAfter), longest)
+	return decider.RetryAfter(outages, len(fl.parts)-fl.minViable, fl.callerTimeout())
 }
 
 // callerTimeout returns the time that the caller had left when its request arrived.
