--- a/modules/decider/decider.go
+++ b/modules/decider/decider.go
@@ -52,6 +52,9 @@
 	// tooSlowFactor is the ratio of a replica's expected time to the remaining time above which a
 	// part is expected to be late.
 	tooSlowFactor = 1.2
+	// certainExcess is the ratio of a replica's expected time to the time until the deadline above
+	// which a part is refused. Below it the replica may still recover in time.
+	certainExcess = 2
 	// minKnownRuns and maxEvidenceAge define when a replica is known to be slow: it needs that
 	// many runs, the last one not older than that. Otherwise it is tried, so that a replica that
 	// has recovered is noticed.
@@ -126,13 +129,14 @@
 	return remaining > 0 && known && float64(r.Completion()) > tooSlowFactor*float64(remaining)
 }
 
-// excess returns the time by which a run would miss the deadline because it waits for a connection;
-// 0 if it does not.
+// excess returns the time by which a run is expected to miss the deadline because it waits for a
+// connection; 0 if it may still be in time. The replica may recover while it waits.
 func (r *Replica) excess(t Times) time.Duration {
-	if !r.full() {
+	remaining := t.Deadline.Sub(t.Now)
+	if !r.full() || float64(r.Completion()) <= certainExcess*float64(remaining) {
 		return 0
 	}
-	return max(r.Completion()-t.Deadline.Sub(t.Now), 0)
+	return r.Completion() - remaining
 }
 
 // MinShards returns the number of shards required for a response: the smallest one whose share is
