--- a/services/forwarder/responses.go
+++ b/services/forwarder/responses.go
@@ -44,8 +44,9 @@
 }
 
 // retryAfter returns the delay after which a retry may succeed. An outage is expected to last as
-// long again as it has lasted so far. The delay covers only as many recoveries as are needed to
-// reach minViable parts, shortest outages first.
+// long again as it has lasted so far, and a saturated shard to have room once its queue is short
+// enough. The delay covers only as many recoveries as are needed to reach minViable parts, shortest
+// outages first.
 func (fl *flight) retryAfter(now time.Time) time.Duration {
 	var outages []time.Duration
 	for _, p := range fl.parts {
