review: the script of the lost readers drains replicas that are in use

Cause: one of its three replicas was in a zone that none of the VMs that are left belongs to, and got nothing. Change: the replicas that drain are those in the zones of these VMs.

--- a/review/casestand/readerslost.go
+++ b/review/casestand/readerslost.go
@@ -38,6 +38,9 @@
 	rlRounds = 3
 )
 
+// rlLeaving holds the indexes of the replicas that drain: those in the zones of the VMs that are left.
+var rlLeaving = [rlRounds]int{0, 2, 3}
+
 // byRank returns the VMs in the order in which they read the store: VMs with links of the same speed are
 // ordered by a hash of their ID, the first one of each zone before all others.
 func byRank(vms []*vm) []*vm {
@@ -91,12 +94,12 @@
 	// Both readers are lost, and the two VMs that are last in rank; the standby readers stay.
 	lost, left := append(slices.Clone(ranked[:2]), ranked[len(ranked)-2:]...), ranked[2:len(ranked)-2]
 	late, served := 0, 0
-	for round := range rlRounds {
-		n, ok, err := rlRound(f, r, lost, left, replicas[round], round, trouble)
+	for round, n := range rlLeaving {
+		tooLate, ok, err := rlRound(f, r, lost, left, replicas[n], round, n, trouble)
 		if err != nil {
 			return cannotRun, err
 		}
-		late, served = late+n, served+ok
+		late, served = late+tooLate, served+ok
 		time.Sleep(rlSettle)
 	}
 	if served == 0 {
@@ -111,7 +114,7 @@
 
 // rlRound takes the VMs in lost away and lets a replica drain. It returns the number of requests that
 // reached the replica too late, and of those that were served.
-func rlRound(f *fleet, r *record, lost, left []*vm, leaving *slotReplica, round int, trouble bool) (late, served int, err error) {
+func rlRound(f *fleet, r *record, lost, left []*vm, leaving *slotReplica, round, n int, trouble bool) (late, served int, err error) {
 	began := time.Now()
 	var mu sync.Mutex
 	from := make(map[string]string)
@@ -138,12 +141,12 @@
 	})
 	wg.Go(func() {
 		time.Sleep(time.Until(began.Add(rlDrain)))
-		f.store.Put(fmt.Sprintf("servers/i-%d", round+1), fmt.Appendf(nil, `{"service":"tannery-ledger","address":%q,"zone":%q,"version":"v1","slots":%d,"state":"draining","warmup_left_ms":0,"sequence":2,"born":%d}`,
-			leaving.Addr(), zones[round%3], rlSlots, time.Now().Add(-time.Minute).UnixMilli()))
+		f.store.Put(fmt.Sprintf("servers/i-%d", n+1), fmt.Appendf(nil, `{"service":"tannery-ledger","address":%q,"zone":%q,"version":"v1","slots":%d,"state":"draining","warmup_left_ms":0,"sequence":2,"born":%d}`,
+			leaving.Addr(), zones[n%3], rlSlots, time.Now().Add(-time.Minute).UnixMilli()))
 		mu.Lock()
 		acked = time.Now()
 		mu.Unlock()
-		r.line("the store has accepted that i-%d is draining", round+1)
+		r.line("the store has accepted that i-%d is draining", n+1)
 	})
 	for k := 0; time.Since(began) < rlEnd; k++ {
 		time.Sleep(time.Until(began.Add(time.Duration(k) * rlEvery)))
@@ -170,10 +173,10 @@
 		last = max(last, after)
 		if after > rlBound {
 			late++
-			r.line("DRAIN: %s reached i-%d from %s %.3f s after the acknowledgement", id, round+1, from[id], after.Seconds())
+			r.line("DRAIN: %s reached i-%d from %s %.3f s after the acknowledgement", id, n+1, from[id], after.Seconds())
 		}
 	}
-	r.say("%d requests served; the last one reached i-%d %.3f s after the acknowledgement, %d later than %v", served, round+1, last.Seconds(), late, rlBound)
+	r.say("%d requests served; the last one reached i-%d %.3f s after the acknowledgement, %d later than %v", served, n+1, last.Seconds(), late, rlBound)
 	return late, served, nil
 }
 
