--- a/review/casestand/fleet.go
+++ b/review/casestand/fleet.go
@@ -33,8 +33,10 @@
 	id, zone string
 	addr     netip.Addr
 	ports    []uint16
-	cmd      *exec.Cmd
-	done     chan struct{}
+	// store is the VM's way to the store; if it is not valid, the VM reaches the store itself.
+	store netip.AddrPort
+	cmd   *exec.Cmd
+	done  chan struct{}
 }
 
 func (v *vm) at(i int) string { return netip.AddrPortFrom(v.addr, v.ports[i]).String() }
@@ -103,6 +105,10 @@
 	for _, s := range f.vms[:min(3, len(f.vms))] {
 		seeds = append(seeds, fmt.Sprintf("%q", s.at(3)))
 	}
+	store := v.store
+	if !store.IsValid() {
+		store = f.store.Addr()
+	}
 	text := fmt.Sprintf(`{
 	"vm": {"id": %q, "data-centre": %q, "link-mbps": 1000.0, "cores": 0.4},
 	"requests": {"listen": %q, "readiness": %q, "metrics": %q},
@@ -111,7 +117,7 @@
 	"first-start": %t,
 	"bounds": {"retry-ratio": 0.2, "retry-slack": 54, "retry-window": "10s", "grace": "6s"},
 	"log": {"level": "info", "format": "json"},
-}`, v.id, v.zone, v.at(0), v.at(1), v.at(2), v.at(3), v.at(3), strings.Join(seeds, ","), f.store.Addr(), first)
+}`, v.id, v.zone, v.at(0), v.at(1), v.at(2), v.at(3), v.at(3), strings.Join(seeds, ","), store, first)
 	file := filepath.Join(f.dir, v.id+".conf")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
