Log requests that get no whole answer around a stop

Added, without a change of what is served:

- request-cut: each request still unanswered as the process ends, with its age and how late in the stop it came
- answer-cut: a connection closed with bytes of its answer unsent
- stop, stopped: grace, requests and calls under way, time since the last traffic
- ebonylock_requests_cut_total by reason

--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -108,12 +108,23 @@
 	refusing atomic.Bool
 	stop     chan struct{}
 	stopOnce sync.Once
+	// cut counts the requests that got no whole answer, by reason.
+	cut *prometheus.CounterVec
 }
 
+// Values of the label reason of Daemon.cut.
+const (
+	cutClosed  = "connection-closed"
+	cutStopped = "process-ended"
+)
+
 // New binds the daemon's addresses. It writes its log to out asynchronously, so that a blocked out delays
 // no request.
 func New(site loader.Site, out io.Writer) (*Daemon, error) {
 	d := &Daemon{site: site, spool: &spooler.Spooler{Out: out}, stop: make(chan struct{}), started: time.Now()}
+	d.cut = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "ebonylock", Name: "requests_cut_total", Help: "Requests that got no whole answer, by reason.",
+	}, []string{"reason"})
 	log, routine := site.Log.Logger(d.spool.Important()), site.Log.Logger(d.spool.Routine())
 	log.AddHook(vmHook(site.VM.ID))
 	routine.AddHook(vmHook(site.VM.ID))
@@ -182,6 +193,7 @@
 func (d *Daemon) registry() *prometheus.Registry {
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(
+		d.cut,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -327,6 +339,23 @@
 	return d.forward.Serve(ctx, r)
 }
 
+// AnswerCut implements requester.Handler.
+func (d *Daemon) AnswerCut(r *forwarder.Request, unsent int) {
+	d.cut.WithLabelValues(cutClosed).Inc()
+	d.log.WithFields(logrus.Fields{"event": "answer-cut", "id": r.ID, "unsent": unsent}).Warn("connection closed before the whole answer was sent")
+}
+
+// logCut logs the requests that get no answer because the process ends.
+func (d *Daemon) logCut(began time.Time) {
+	for _, r := range d.callers.Unanswered() {
+		d.cut.WithLabelValues(cutStopped).Inc()
+		d.log.WithFields(logrus.Fields{
+			"event": "request-cut", "id": r.ID, "host": r.Host, "path": r.Path, "age-ms": time.Since(r.Arrived).Milliseconds(),
+			"stopping-ms": r.Arrived.Sub(began).Milliseconds(), "patience-ms": r.CallerTimeout.Milliseconds(),
+		}).Warn("process ends before the request is answered")
+	}
+}
+
 // Collect implements gatherer.Collector.
 func (d *Daemon) Collect(ctx context.Context, c *forwarder.Call, accept func() bool, emit func(forwarder.Partial)) error {
 	if d.refusing.Load() {
@@ -396,17 +425,24 @@
 	began := time.Now()
 	d.stopping.Store(true)
 	d.gossip.Drain()
-	d.log.WithField("event", "stop").Info("graceful shutdown started")
+	d.log.WithFields(logrus.Fields{
+		"event": "stop", "grace": d.site.Bounds.Grace.String(), "in-flight": d.callers.InFlight(), "calls": d.forward.ActiveCalls(),
+	}).Info("graceful shutdown started")
 	stopper{
 		traffic:     vmTraffic{d.callers, d.forward},
 		gracePeriod: d.site.Bounds.Grace,
 		refuse:      func() { d.refusing.Store(true) },
 		leave: func() {
 			d.gossip.Leave()
-			d.log.WithFields(logrus.Fields{"event": "stopped", "in-flight": d.callers.InFlight(), "took": time.Since(began).String()}).Info("graceful shutdown finished")
+			d.log.WithFields(logrus.Fields{
+				"event": "stopped", "in-flight": d.callers.InFlight(), "calls": d.forward.ActiveCalls(), "took": time.Since(began).String(),
+				"quiet": time.Since(d.callers.LastTraffic()).String(),
+			}).Info("graceful shutdown finished")
 			d.spool.Flush(flushTimeout)
 		},
 	}.stop(ctx)
+	d.logCut(began)
+	d.spool.Flush(flushTimeout)
 }
 
 // sweep closes idle connections, drops expired statistics and reports dropped log lines until ctx ends.
