A stopping VM takes only what it can answer, and answers everything

Cause: the end of a stopping VM was a constant, 0.7 s before the grace is over, and so was the moment from which it refused, 1 s earlier. Neither followed from what a request may last: with 6 s of grace a request taken 4.2 s after SIGTERM had 1.1 s, while those of the routes with one service have deadlines of 1.5 and 15 s and last longer than 1 s on slow or silent replicas. The class: work is accepted without knowing when the acceptor ends.

Change: the VM's end is a deadline of every request. forwarder.Stop sets it; a request is taken only if its timeout ends earlier or no recent request of its route lasted longer than what is left; what is in progress gets its final answer (parts, 503 or 504) by then; calls of other VMs likewise. The last answers leave 0.5 s before the grace is over (0.7 s before), and the process waits until they are sent, 0.15 s before it is over at the latest.

The test of the stopper that took a running request beyond the grace for granted is replaced: it now demands that nothing is in progress at the exit.

--- a/services/forwarder/call.go
+++ b/services/forwarder/call.go
@@ -115,7 +115,8 @@
 		return ErrRefused
 	}
 	defer f.activeCalls.Add(-1)
-	if f.activeCalls.Add(1) > maxCalls || state == nil {
+	now := time.Now()
+	if f.activeCalls.Add(1) > maxCalls || state == nil || !f.endsInTime(c.Route, now, c.Deadline.Sub(now)) {
 		f.metrics.calls.WithLabelValues(outcomeRefused).Inc()
 		f.log.WithFields(logrus.Fields{"event": "call-refused", "id": c.ID, "calls": f.ActiveCalls(), "configured": state != nil}).Info("call of another VM refused")
 		return ErrRefused
@@ -147,6 +148,10 @@
 		target:      c.Cutoff,
 		partialAt:   c.Cutoff,
 		fingerprint: fingerprint(c.Request),
+		stopping:    f.stopping,
+	}
+	if f.stop.Load() != nil {
+		fl.endWithVM()
 	}
 	// The number of parts that may be missing is divided among the calls of the request. If this
 	// call alone misses more than the total, there is no response at all, so nothing is sent.
--- a/services/forwarder/fanout.go
+++ b/services/forwarder/fanout.go
@@ -60,10 +60,9 @@
 		fo.callVM(g.dataCentre, g.shards, nil, 0)
 	}
 	defer fo.stop()
-	cutoff, limit := fl.cutoff(), fl.deadline.Add(-fl.margin())
 	n := len(fo.stamps)
 	for {
-		now := time.Now()
+		now, cutoff, limit := time.Now(), fl.cutoff(), fl.limit()
 		switch {
 		case fo.received >= fo.minParts && (fo.received+fo.lost == n || !now.Before(cutoff)):
 			return fo.mergedResponse()
@@ -98,6 +97,8 @@
 			fo.handleEvent(e)
 		}
 	case <-timer.C:
+	case <-fo.fl.stopping:
+		fo.fl.endWithVM()
 	case <-fo.fl.ctx.Done():
 		return false
 	}
@@ -150,7 +151,7 @@
 	return &Call{
 		Request: fl.r, Route: fl.route.Name, Shards: names, TotalShards: len(fo.stamps), MinParts: fo.minParts, TopK: fl.route.TopK,
 		TargetLatency: fl.route.TargetLatency, MaxAttempts: fl.route.MaxAttempts, PriorAttempts: h.priorAttempts,
-		Cutoff: fl.cutoff().Add(-delay), Deadline: fl.deadline.Add(-fl.margin() - delay),
+		Cutoff: fl.cutoff().Add(-delay), Deadline: fl.limit().Add(-delay),
 	}
 }
 
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -108,6 +108,9 @@
 	// answered is true once the response is known. From then on a cancelled ctx does not mean that
 	// the caller has left.
 	answered atomic.Bool
+	// stopping is closed when the VM begins to stop. It is nil once deadline is no later than the
+	// end of the VM.
+	stopping <-chan struct{}
 }
 
 func (fl *flight) start(services []string, minParts int) {
@@ -182,7 +185,19 @@
 	if !fl.partialAt.IsZero() {
 		return fl.partialAt
 	}
-	return fl.target.Add(-fl.margin())
+	return earlier(fl.target.Add(-fl.margin()), fl.limit())
+}
+
+// limit is the time at which the response to a gathered request has to leave this VM.
+func (fl *flight) limit() time.Time {
+	return fl.deadline.Add(-fl.margin())
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // gather returns a response merged from parts of the shards.
@@ -190,9 +205,8 @@
 	fl.start(shards, minParts)
 	defer fl.finish()
 	fl.sendAll()
-	cutoff, limit := fl.cutoff(), fl.deadline.Add(-fl.margin())
 	for {
-		now := time.Now()
+		now, cutoff, limit := time.Now(), fl.cutoff(), fl.limit()
 		switch {
 		case fl.replied >= minParts && (fl.done+fl.waiting == len(shards) || !now.Before(cutoff)):
 			return fl.mergedResponse()
@@ -217,8 +231,8 @@
 	defer fl.finish()
 	fl.sendAll()
 	p := fl.parts[0]
-	limit := fl.deadline.Add(-responseMargin)
 	for !p.done {
+		limit := fl.deadline.Add(-responseMargin)
 		if !time.Now().Before(limit) {
 			return fl.timeoutResponse()
 		}
@@ -256,6 +270,8 @@
 			fl.handleResult(r)
 		}
 	case <-fl.timer.C:
+	case <-fl.stopping:
+		fl.endWithVM()
 	case <-fl.ctx.Done():
 		return false
 	}
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -89,6 +90,12 @@
 	budgets map[string]*budgeter.Window
 	// usualTimeouts holds the usual timeout of callers by route name.
 	usualTimeouts map[string]*usualTimeout
+	// durations holds how long requests have lasted by route name.
+	durations map[string]*longestDuration
+
+	// stopping is closed once stop is set.
+	stopping chan struct{}
+	stop     atomic.Pointer[stopTimes]
 }
 
 // New returns a Forwarder.
@@ -105,6 +112,8 @@
 		routineLog:    cfg.RoutineLog,
 		budgets:       make(map[string]*budgeter.Window),
 		usualTimeouts: make(map[string]*usualTimeout),
+		durations:     make(map[string]*longestDuration),
+		stopping:      make(chan struct{}),
 	}
 }
 
@@ -126,6 +135,9 @@
 	if callerTimeout <= 0 {
 		callerTimeout = defaultCallerTimeout
 	}
+	if !f.endsInTime(m.Name, r.Arrived, min(callerTimeout, m.Timeout)) {
+		return f.Refuse(r)
+	}
 	timeUsed := f.timeUsed(m.Route, r, callerTimeout)
 	fl := &flight{
 		f:           f,
@@ -137,6 +149,10 @@
 		target:      r.Arrived.Add(m.TargetLatency - timeUsed),
 		timeUsed:    timeUsed,
 		fingerprint: fp,
+		stopping:    f.stopping,
+	}
+	if f.stop.Load() != nil {
+		fl.endWithVM()
 	}
 	var resp Response
 	n := len(m.Shards)
@@ -148,6 +164,9 @@
 	default:
 		resp = newFanout(fl, sel, decider.MinShards(m.MinShardShare, n)).run()
 	}
+	if ctx.Err() == nil && resp.Status != http.StatusServiceUnavailable {
+		f.longest(m.Name).observe(time.Since(r.Arrived), time.Now())
+	}
 	return f.withRecord(fl, r, resp, fl.outcome(&resp))
 }
 
@@ -264,7 +283,10 @@
 	return f.withRecord(nil, r, notRunResponse(decider.DefaultRetryAfter), outcomeStopping)
 }
 
-// Forget drops the statistics of replicas that were last used earlier than before.
+// Forget drops the statistics of replicas and routes that were last used earlier than before.
 func (f *Forwarder) Forget(before time.Time) {
 	f.ranks.Prune(before)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	maps.DeleteFunc(f.durations, func(_ string, l *longestDuration) bool { return l.unusedSince(before) })
 }
--- a/services/forwarder/record.go
+++ b/services/forwarder/record.go
@@ -40,6 +40,9 @@
 	if resp.RetryAfter > 0 {
 		fields["retry-after-ms"] = milliseconds(resp.RetryAfter)
 	}
+	if stop := f.stop.Load(); stop != nil {
+		fields["stopping-ms"] = milliseconds(r.Arrived.Sub(stop.began))
+	}
 	if fl == nil {
 		fields["host"], fields["path"] = r.Host, r.Path
 		f.log.WithFields(fields).Warn("request ended")
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -39,17 +39,8 @@
 const (
 	// callerDelay is the one-way network latency between a VM and a caller on the users' networks.
 	callerDelay = 3 * time.Millisecond
-	// minDrain is the time after the stop request during which the balancer may still send new
-	// connections: it needs two failed readiness checks a second apart, plus network latency.
-	minDrain = 3 * time.Second
-	// quietPeriod is the time without a new connection or request after which a stopping VM exits.
-	quietPeriod = 700 * time.Millisecond
-	// exitMargin is the part of the grace period that is reserved for the exit of the process.
-	exitMargin = 700 * time.Millisecond
 	// flushTimeout limits the time for writing buffered log lines at exit.
 	flushTimeout = 100 * time.Millisecond
-	// refusalPeriod is the time at the end of the grace period during which new requests are refused.
-	refusalPeriod = time.Second
 	// sweepInterval is the time between two cleanups of idle connections and expired statistics.
 	sweepInterval = 5 * time.Second
 	// statsTTL is the time after which the statistics of an unused replica are dropped.
@@ -366,13 +357,28 @@
 
 // vmTraffic is the traffic from callers and from other VMs.
 type vmTraffic struct {
-	*requester.Listener
-	forward *forwarder.Forwarder
+	*Daemon
+}
+
+// Drain implements traffic.
+func (t vmTraffic) Drain(end time.Time) {
+	t.forward.Stop(end)
+	t.callers.Drain()
+}
+
+// Refuse implements traffic.
+func (t vmTraffic) Refuse() {
+	t.refusing.Store(true)
 }
 
 // InFlight implements traffic.
 func (t vmTraffic) InFlight() int {
-	return t.Listener.InFlight() + t.forward.ActiveCalls()
+	return t.callers.InFlight() + t.forward.ActiveCalls()
+}
+
+// LastTraffic implements traffic.
+func (t vmTraffic) LastTraffic() time.Time {
+	return t.callers.LastTraffic()
 }
 
 // Stop begins the graceful shutdown.
@@ -429,9 +435,8 @@
 		"event": "stop", "grace": d.site.Bounds.Grace.String(), "in-flight": d.callers.InFlight(), "calls": d.forward.ActiveCalls(),
 	}).Info("graceful shutdown started")
 	stopper{
-		traffic:     vmTraffic{d.callers, d.forward},
+		traffic:     vmTraffic{d},
 		gracePeriod: d.site.Bounds.Grace,
-		refuse:      func() { d.refusing.Store(true) },
 		leave: func() {
 			d.gossip.Leave()
 			d.log.WithFields(logrus.Fields{
--- a/services/launcher/stopper.go
+++ b/services/launcher/stopper.go
@@ -5,14 +5,29 @@
 	"time"
 )
 
-// pollInterval is the time between two checks whether the shutdown can proceed.
-const pollInterval = 20 * time.Millisecond
+const (
+	// pollInterval is the time between two checks whether the shutdown can proceed.
+	pollInterval = 20 * time.Millisecond
+	// minDrain is the time after the stop request during which the balancer may still send new
+	// connections: it needs two failed readiness checks a second apart, plus network latency.
+	minDrain = 3 * time.Second
+	// quietPeriod is the time without a new connection or request after which a stopping VM exits.
+	quietPeriod = 700 * time.Millisecond
+	// answerMargin is the part of the grace period that remains when the last answer is due. It is for
+	// sending that answer and for leaving the fleet.
+	answerMargin = 500 * time.Millisecond
+	// exitMargin is the part of the grace period that is reserved for the exit of the process.
+	exitMargin = 150 * time.Millisecond
+)
 
 // traffic is the traffic that has to end before the process may exit.
 type traffic interface {
-	// Drain makes every further answer close its connection.
-	Drain()
-	// InFlight returns the number of requests that were read and not answered yet.
+	// Drain makes every further answer close its connection and every request be answered by end. A
+	// request that can't be is refused.
+	Drain(end time.Time)
+	// Refuse makes every new request get a refusal.
+	Refuse()
+	// InFlight returns the number of requests whose answers are not completely sent yet.
 	InFlight() int
 	// LastTraffic returns the time of the last new connection or request.
 	LastTraffic() time.Time
@@ -23,32 +38,25 @@
 	traffic traffic
 	// gracePeriod is the time after which the process is killed.
 	gracePeriod time.Duration
-	// refuse makes every new request get a refusal, which is correct as the request was not run.
-	refuse func()
 	// leave announces to the other VMs that this one leaves. It may take a while, during which requests
 	// still arrive.
 	leave func()
 }
 
-// stop returns once the process may exit: minDrain is over, so that the balancer has noticed the stop, nothing
-// new has arrived for quietPeriod, and every request that was read is answered; or the grace period is over
-// except for exitMargin.
+// stop returns once the process may exit. Either minDrain is over, so that the balancer has noticed the stop,
+// and nothing new has arrived for quietPeriod; or the last answer is due. In both cases every request that was
+// read is answered, unless the grace period is over except for exitMargin.
 func (s stopper) stop(ctx context.Context) {
 	began := time.Now()
-	end := began.Add(s.gracePeriod - exitMargin)
-	s.traffic.Drain()
-	refusing := false
+	end, exit := began.Add(s.gracePeriod-answerMargin), began.Add(s.gracePeriod-exitMargin)
+	s.traffic.Drain(end)
 	s.wait(ctx, func(now time.Time) bool {
-		if !refusing && now.After(end.Add(-refusalPeriod)) {
-			refusing = true
-			s.refuse()
-		}
 		idle := s.traffic.InFlight() == 0 && now.Sub(s.traffic.LastTraffic()) > quietPeriod
 		return now.After(end) || (idle && now.Sub(began) > minDrain)
 	})
-	s.refuse()
+	s.traffic.Refuse()
 	s.leave()
-	s.wait(ctx, func(now time.Time) bool { return now.After(end) || s.traffic.InFlight() == 0 })
+	s.wait(ctx, func(now time.Time) bool { return now.After(exit) || s.traffic.InFlight() == 0 })
 }
 
 // wait polls done until it returns true or ctx ends.
--- a/services/launcher/stopper_test.go
+++ b/services/launcher/stopper_test.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,13 +15,33 @@
 	mu       sync.Mutex
 	inFlight int
 	last     time.Time
-	draining bool
+	// end is the time by which requests are answered; zero until Drain.
+	end time.Time
+	// ends holds a channel for each request in progress; a message ends it.
+	ends []chan struct{}
+	// answerTime is the time that the last answers take to be sent after end.
+	answerTime time.Duration
+	// cut counts the requests that were in progress when the process ended.
+	cut     int
+	began   time.Time
+	refused time.Duration
 }
 
-func (f *fakeTraffic) Drain() {
+func (f *fakeTraffic) Drain(end time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.draining = true
+	f.end = end
+	for _, c := range f.ends {
+		close(c)
+	}
+}
+
+func (f *fakeTraffic) Refuse() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refused == 0 {
+		f.refused = time.Since(f.began)
+	}
 }
 
 func (f *fakeTraffic) InFlight() int {
@@ -35,34 +56,47 @@
 	return f.last
 }
 
-// request simulates a request that takes d.
+// request simulates a request that takes d, or until end if that is earlier.
 func (f *fakeTraffic) request(d time.Duration) {
 	f.mu.Lock()
 	f.inFlight++
 	f.last = time.Now()
+	done := time.Now().Add(d)
+	drained := make(chan struct{})
+	if f.end.IsZero() {
+		f.ends = append(f.ends, drained)
+	} else {
+		close(drained)
+	}
 	f.mu.Unlock()
-	time.AfterFunc(d, func() {
+	go func() {
+		select {
+		case <-time.After(d):
+		case <-drained:
+			f.mu.Lock()
+			last := f.end.Add(f.answerTime)
+			f.mu.Unlock()
+			if done.Before(last) {
+				last = done
+			}
+			time.Sleep(time.Until(last))
+		}
 		f.mu.Lock()
 		f.inFlight--
 		f.mu.Unlock()
-	})
+	}()
 }
 
 // runStop runs a shutdown with a grace period of 6 s. It returns how long the shutdown took and the time after
 // which new requests were refused. during is called when the VM leaves the fleet.
 func runStop(t *testing.T, f *fakeTraffic, during func()) (took, refused time.Duration) {
 	t.Helper()
-	began := time.Now()
-	stopper{
-		traffic: f, gracePeriod: 6 * time.Second,
-		refuse: func() {
-			if refused == 0 {
-				refused = time.Since(began)
-			}
-		},
-		leave: during,
-	}.stop(t.Context())
-	return time.Since(began), refused
+	f.began = time.Now()
+	stopper{traffic: f, gracePeriod: 6 * time.Second, leave: during}.stop(t.Context())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = f.inFlight
+	return time.Since(f.began), f.refused
 }
 
 func TestStopWaitsForTheBalancer(t *testing.T) {
@@ -70,7 +104,7 @@
 		is := is.New(t)
 		var f fakeTraffic
 		took, refused := runStop(t, &f, func() {})
-		is.True(f.draining)
+		is.True(!f.end.IsZero())
 		is.True(took > minDrain && took < minDrain+100*time.Millisecond)
 		is.True(refused > minDrain)
 	})
@@ -88,17 +122,40 @@
 	})
 }
 
-func TestLongRequestsAndSteadyTraffic(t *testing.T) {
+// TestLongRequestsAreAnsweredBeforeTheExit guards against requests that the end of the process cuts off: the
+// process exits once the last answer is sent, also if a request lasts longer than the grace period.
+func TestLongRequestsAreAnsweredBeforeTheExit(t *testing.T) {
+	for _, d := range []time.Duration{4 * time.Second, time.Minute} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := fakeTraffic{answerTime: 100 * time.Millisecond}
+			f.request(d)
+			took, _ := runStop(t, &f, func() {})
+			is.Equal(f.cut, 0)
+			is.True(took >= min(d, 6*time.Second-answerMargin)) // its answer could come until then
+			is.True(took <= 6*time.Second-exitMargin+pollInterval)
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
+// TestSteadyTrafficDoesNotDelayTheExit checks that the process exits in time although requests keep coming, and
+// that none of them is cut off.
+func TestSteadyTrafficDoesNotDelayTheExit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var f fakeTraffic
-		f.request(4 * time.Second)
-		took, _ := runStop(t, &f, func() {})
-		is.True(took >= 4*time.Second && f.InFlight() == 0)
-		f = fakeTraffic{}
-		f.request(time.Minute) // takes longer than the grace period
-		took, refused := runStop(t, &f, func() {})
-		is.True(took < 6*time.Second-exitMargin+100*time.Millisecond)
-		is.True(refused < took-refusalPeriod+100*time.Millisecond) // no request is accepted that can't finish in time
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			for ctx.Err() == nil {
+				f.request(300 * time.Millisecond)
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		took, refused := runStop(t, &f, cancel)
+		is.Equal(f.cut, 0)
+		is.True(took <= 6*time.Second-exitMargin+pollInterval)
+		is.True(refused <= 6*time.Second-answerMargin+2*pollInterval) // nothing is taken that can't be answered
+		time.Sleep(time.Second)
 	})
 }
