--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -39,17 +39,8 @@
 const (
 	// callerDelay is the one-way network latency between a VM and a caller on the users' networks.
 	callerDelay = 3 * time.Millisecond
-	// minDrain is the time after the stop request during which the balancer may still send new
-	// connections: it needs two failed readiness checks a second apart, plus network latency.
-	minDrain = 3 * time.Second
-	// quietPeriod is the time without a new connection or request after which a stopping VM exits.
-	quietPeriod = 700 * time.Millisecond
-	// exitMargin is the part of the grace period that is reserved for the exit of the process.
-	exitMargin = 700 * time.Millisecond
 	// flushTimeout limits the time for writing buffered log lines at exit.
 	flushTimeout = 100 * time.Millisecond
-	// refusalPeriod is the time at the end of the grace period during which new requests are refused.
-	refusalPeriod = time.Second
 	// sweepInterval is the time between two cleanups of idle connections and expired statistics.
 	sweepInterval = 5 * time.Second
 	// statsTTL is the time after which the statistics of an unused replica are dropped.
@@ -108,12 +99,23 @@
 	refusing atomic.Bool
 	stop     chan struct{}
 	stopOnce sync.Once
+	// cut counts the requests that got no whole answer, by reason.
+	cut *prometheus.CounterVec
 }
 
+// Values of the label reason of Daemon.cut.
+const (
+	cutClosed  = "connection-closed"
+	cutStopped = "process-ended"
+)
+
 // New binds the daemon's addresses. It writes its log to out asynchronously, so that a blocked out delays
 // no request.
 func New(site loader.Site, out io.Writer) (*Daemon, error) {
 	d := &Daemon{site: site, spool: &spooler.Spooler{Out: out}, stop: make(chan struct{}), started: time.Now()}
+	d.cut = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "ebonylock", Name: "requests_cut_total", Help: "Requests that got no whole answer, by reason.",
+	}, []string{"reason"})
 	log, routine := site.Log.Logger(d.spool.Important()), site.Log.Logger(d.spool.Routine())
 	log.AddHook(vmHook(site.VM.ID))
 	routine.AddHook(vmHook(site.VM.ID))
@@ -182,6 +184,7 @@
 func (d *Daemon) registry() *prometheus.Registry {
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(
+		d.cut,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -327,6 +330,23 @@
 	return d.forward.Serve(ctx, r)
 }
 
+// AnswerCut implements requester.Handler.
+func (d *Daemon) AnswerCut(r *forwarder.Request, unsent int) {
+	d.cut.WithLabelValues(cutClosed).Inc()
+	d.log.WithFields(logrus.Fields{"event": "answer-cut", "id": r.ID, "unsent": unsent}).Warn("connection closed before the whole answer was sent")
+}
+
+// logCut logs the requests that get no answer because the process ends.
+func (d *Daemon) logCut(began time.Time) {
+	for _, r := range d.callers.Unanswered() {
+		d.cut.WithLabelValues(cutStopped).Inc()
+		d.log.WithFields(logrus.Fields{
+			"event": "request-cut", "id": r.ID, "host": r.Host, "path": r.Path, "age-ms": time.Since(r.Arrived).Milliseconds(),
+			"stopping-ms": r.Arrived.Sub(began).Milliseconds(), "patience-ms": r.CallerTimeout.Milliseconds(),
+		}).Warn("process ends before the request is answered")
+	}
+}
+
 // Collect implements gatherer.Collector.
 func (d *Daemon) Collect(ctx context.Context, c *forwarder.Call, accept func() bool, emit func(forwarder.Partial)) error {
 	if d.refusing.Load() {
@@ -337,13 +357,28 @@
 
 // vmTraffic is the traffic from callers and from other VMs.
 type vmTraffic struct {
-	*requester.Listener
-	forward *forwarder.Forwarder
+	*Daemon
+}
+
+// Drain implements traffic.
+func (t vmTraffic) Drain(end time.Time) {
+	t.forward.Stop(end)
+	t.callers.Drain()
+}
+
+// Refuse implements traffic.
+func (t vmTraffic) Refuse() {
+	t.refusing.Store(true)
 }
 
 // InFlight implements traffic.
 func (t vmTraffic) InFlight() int {
-	return t.Listener.InFlight() + t.forward.ActiveCalls()
+	return t.callers.InFlight() + t.forward.ActiveCalls()
+}
+
+// LastTraffic implements traffic.
+func (t vmTraffic) LastTraffic() time.Time {
+	return t.callers.LastTraffic()
 }
 
 // Stop begins the graceful shutdown.
@@ -396,17 +431,23 @@
 	began := time.Now()
 	d.stopping.Store(true)
 	d.gossip.Drain()
-	d.log.WithField("event", "stop").Info("graceful shutdown started")
+	d.log.WithFields(logrus.Fields{
+		"event": "stop", "grace": d.site.Bounds.Grace.String(), "in-flight": d.callers.InFlight(), "calls": d.forward.ActiveCalls(),
+	}).Info("graceful shutdown started")
 	stopper{
-		traffic:     vmTraffic{d.callers, d.forward},
+		traffic:     vmTraffic{d},
 		gracePeriod: d.site.Bounds.Grace,
-		refuse:      func() { d.refusing.Store(true) },
 		leave: func() {
 			d.gossip.Leave()
-			d.log.WithFields(logrus.Fields{"event": "stopped", "in-flight": d.callers.InFlight(), "took": time.Since(began).String()}).Info("graceful shutdown finished")
+			d.log.WithFields(logrus.Fields{
+				"event": "stopped", "in-flight": d.callers.InFlight(), "calls": d.forward.ActiveCalls(), "took": time.Since(began).String(),
+				"quiet": time.Since(d.callers.LastTraffic()).String(),
+			}).Info("graceful shutdown finished")
 			d.spool.Flush(flushTimeout)
 		},
 	}.stop(ctx)
+	d.logCut(began)
+	d.spool.Flush(flushTimeout)
 }
 
 // sweep closes idle connections, drops expired statistics and reports dropped log lines until ctx ends.
