--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./platform/requester
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./platform/operator
 	$(GO) test -run '^$$' -fuzz FuzzReply -fuzztime $(FUZZTIME) ./platform/replica
+	$(GO) test -run '^$$' -fuzz FuzzDecodeEntry -fuzztime $(FUZZTIME) ./platform/replica
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./modules/reporter
 	$(GO) test -run '^$$' -fuzz FuzzDecodeCall -fuzztime $(FUZZTIME) ./services/gatherer
 	$(GO) test -run '^$$' -fuzz FuzzDecodePartial -fuzztime $(FUZZTIME) ./services/gatherer
