An odd entry doesn't displace a replica at its address

What callers saw: a sound replica got no requests while an entry of another writer repeated its address with a later start. A start of 2^63-1, or a service that nobody has configured, was enough.

Cause: among the entries of one address the one that started last was taken to have replaced the others, whatever it said otherwise.

Change: an entry displaces another only if the configuration names its service and its start isn't more than a minute in the future. Nothing else changes: an entry of an unknown service was never sent to, as no route names it.

Why it works: an address that is used again by a replica of a configured service still displaces the old one. Where the new one isn't believed (its service is not configured yet, or this VM's clock was set back), both stay; the wrong one answers 421 to the ID that it isn't, and runs nothing.

--- a/modules/registrar/registrar.go
+++ b/modules/registrar/registrar.go
@@ -96,12 +96,19 @@
 	return expired
 }
 
-// View returns the replicas that may receive requests.
-func (r *Registry) View() *View {
+// maxClockSkew is the time by which the clock of a server may be ahead of this VM's.
+const maxClockSkew = time.Minute
+
+// View returns the replicas that may receive requests at now. configured reports whether the
+// configuration names a service.
+func (r *Registry) View(now time.Time, configured func(service string) bool) *View {
 	v := &View{Services: make(map[string][]*Candidate)}
 	newest := make(map[netip.AddrPort]time.Time)
 	for _, e := range r.entries {
-		if e.missingSince.IsZero() && e.StartedAt.After(newest[e.Addr]) {
+		// An entry of an unknown service, or of a start in the future, may have another writer and is no
+		// evidence that another server has ended.
+		believed := configured(e.Service) && e.StartedAt.Before(now.Add(maxClockSkew))
+		if believed && e.missingSince.IsZero() && e.StartedAt.After(newest[e.Addr]) {
 			newest[e.Addr] = e.StartedAt
 		}
 	}
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -182,7 +182,11 @@
 		return
 	}
 	f.registry.SetEvacuated(f.evacuated)
-	f.state.Store(&forwarder.State{Table: f.table, View: f.registry.View(), VMs: max(f.vms, 1)})
+	view := f.registry.View(time.Now(), func(service string) bool {
+		_, ok := f.table.Config.Services[service]
+		return ok
+	})
+	f.state.Store(&forwarder.State{Table: f.table, View: view, VMs: max(f.vms, 1)})
 }
 
 // ExpireReplicas removes the backend servers whose entries have been missing for too long. It runs
