A replica whose entry turns odd is not a last resort

What callers saw: for 2.1 s after another writer had overwritten the entry of a replica, requests still reached it if no other replica of its service was left.

Cause: an entry that can't be read was treated like one that has expired, which may come back.

Evidence: TestEntryTurnsOdd on the code before: 2 replicas where 1 is to be used.

Change: such an entry is dropped at once. When it is sound again it is used again, at the next change.

--- a/modules/registrar/registrar.go
+++ b/modules/registrar/registrar.go
@@ -75,6 +75,11 @@
 	}
 }
 
+// Drop removes an entry without a grace period.
+func (r *Registry) Drop(id string) {
+	delete(r.entries, id)
+}
+
 // SetEvacuated replaces the set of data centres that get no requests.
 func (r *Registry) SetEvacuated(dataCentres map[string]bool) {
 	r.evacuated = dataCentres
--- a/modules/registrar/registrar_test.go
+++ b/modules/registrar/registrar_test.go
@@ -109,3 +109,15 @@
 		})
 	}
 }
+
+func TestDroppedEntryHasNoGracePeriod(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	r.Put(replica("a", "10.0.0.1:1", 0))
+	r.Put(replica("b", "10.0.0.2:1", 0))
+	r.Drop("a")
+	r.Drop("unknown")
+	is.Equal(ids(r.View(start, configured)), "b ")
+	r.Put(replica("a", "10.0.0.1:1", 0))
+	is.Equal(ids(r.View(start, configured)), "a b ")
+}
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -167,8 +167,8 @@
 	}
 	r, err := f.decoder.Replica(id, it.Value)
 	if err != nil {
-		f.registry.MarkMissing(id, now)
-		f.log.WithFields(fields).WithError(err).Warn("backend server entry could not be decoded; treated as removed")
+		f.registry.Drop(id)
+		f.log.WithFields(fields).WithError(err).Warn("backend server entry names no usable replica")
 		return
 	}
 	f.registry.Put(r)
--- a/services/follower/follower_test.go
+++ b/services/follower/follower_test.go
@@ -87,6 +87,23 @@
 	is.Equal(f.State().VMs, 5)
 }
 
+// TestEntryTurnsOdd guards against requests to a replica whose entry another writer has overwritten:
+// it names no replica to use, not even as a last resort, until it is sound again.
+func TestEntryTurnsOdd(t *testing.T) {
+	is := is.New(t)
+	f := New(testDecoder{}, discardLogger())
+	now := time.Now()
+	replicas := func() int { return len(f.State().View.Services["s"]) }
+	f.Load(batch(3, item("config", "4", 1), item("replica/a", "dc-1", 2), item("replica/b", "dc-1", 3)), now)
+	is.Equal(replicas(), 2)
+	f.Apply(batch(4, item("replica/a", "x", 4)), now)
+	is.Equal(replicas(), 1)
+	f.Apply(batch(5, item("replica/a", "dc-1", 5)), now)
+	is.Equal(replicas(), 2)
+	f.expire(now.Add(time.Hour))
+	is.Equal(replicas(), 2)
+}
+
 // testFleet is a store and the VMs that follow it. The index of a VM determines its sources. Each
 // VM has two watchers.
 type testFleet struct {
