--- a/modules/fetcher/fetcher.go
+++ b/modules/fetcher/fetcher.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net"
 	"net/netip"
 	"time"
@@ -12,7 +13,10 @@
 )
 
 // MaxBody is the maximum size of a response body, in bytes.
-const MaxBody = 4 << 20
+const MaxBody = 16 << 20
+
+// ErrTooLarge is returned if a response body is larger than MaxBody.
+var ErrTooLarge = errors.New("response too large")
 
 // maxIdle is shorter than the idle timeout of every server that this package is used with, so
 // that a request is not sent on a connection that the server is closing.
@@ -76,7 +80,7 @@
 }
 
 // Raw sends a request with a body of the given content type (nil for no body). It returns the
-// HTTP status code and the response body.
+// HTTP status code and the response body. Errors match ErrTooLarge if the body is too large.
 func (c *Client) Raw(method, path, contentType string, body []byte, deadline time.Time) (int, []byte, error) {
 	r := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(r)
@@ -89,6 +93,9 @@
 		r.SetBodyRaw(body)
 	}
 	if err := c.hc.DoDeadline(r, w, deadline); err != nil {
+		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+			err = errors.Join(ErrTooLarge, err)
+		}
 		return 0, nil, oops.Wrapf(err, "%s %s", method, path)
 	}
 	return w.StatusCode(), append([]byte(nil), w.Body()...), nil
--- a/services/follower/follower_test.go
+++ b/services/follower/follower_test.go
@@ -394,6 +394,37 @@
 	}
 }
 
+// slowSource is a source whose snapshot takes a while.
+type slowSource struct {
+	replicator.Source
+	took time.Duration
+}
+
+func (s slowSource) Snapshot(ctx context.Context) (replicator.Batch, error) {
+	select {
+	case <-time.After(s.took):
+		return s.Source.Snapshot(ctx)
+	case <-ctx.Done():
+		return replicator.Batch{}, ctx.Err()
+	}
+}
+
+// TestLongSnapshotIsRead guards against a VM that never becomes ready because large values of another
+// writer make the first snapshot longer than an attempt may take.
+func TestLongSnapshotIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
+		defer cancel()
+		store := &replicator.Cache{}
+		store.Load(batch(5, item("config", "1", 5)), time.Now())
+		f := New(testDecoder{}, discardLogger())
+		f.bootstrap(ctx, bootstrapProvider{seed: &replicator.Cache{}, store: slowSource{store, 10 * time.Second}})
+		is.NoErr(ctx.Err())
+		is.True(f.State() != nil)
+	})
+}
+
 // TestShortOutageCausesNoHerd covers a store that turns all VMs away for a moment. The readers have
 // to be back at the store before their copies are stale: otherwise all VMs read the store at once, and
 // the more there are, the longer it takes until it serves them (thundering herd).
--- a/services/follower/watcher.go
+++ b/services/follower/watcher.go
@@ -27,8 +27,11 @@
 	// sources fail. The delay doubles with each retry.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
-	// bootstrapTimeout bounds each attempt to read the first snapshot.
-	bootstrapTimeout = 600 * time.Millisecond
+	// bootstrapTimeout bounds the first attempt to read the first snapshot. Each further attempt may
+	// take twice as long, as a store with large values needs many pages; each page has a timeout of
+	// its own.
+	bootstrapTimeout    = 600 * time.Millisecond
+	maxBootstrapTimeout = time.Minute
 	// settleTime is the time for which a VM waits after its first snapshot before it chooses the
 	// sources to follow. In this time it discovers the other VMs.
 	settleTime = time.Second
@@ -107,11 +110,11 @@
 // bootstrap reads the first snapshot. It asks all sources at once, takes the first answer, and
 // retries until one source has answered or ctx is done.
 func (f *Follower) bootstrap(ctx context.Context, provider SourceProvider) {
-	delay, began := minRetryDelay, time.Now()
+	delay, timeout, began := minRetryDelay, bootstrapTimeout, time.Now()
 	for ctx.Err() == nil && f.Cache.Revision() == 0 {
 		sources := slices.DeleteFunc(provider.Sources(0), func(s NamedSource) bool { return s.BootstrapDelay > time.Since(began) })
 		done := make(chan bool, len(sources))
-		attempt, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+		attempt, cancel := context.WithTimeout(ctx, timeout)
 		for _, s := range sources {
 			go func() {
 				_, err := f.loadSnapshot(attempt, s)
@@ -127,7 +130,7 @@
 		cancel()
 		if !got {
 			pauser.Pause(ctx, delay)
-			delay = min(2*delay, maxRetryDelay)
+			delay, timeout = min(2*delay, maxRetryDelay), min(2*timeout, maxBootstrapTimeout)
 		}
 	}
 }
