The history of changes is bounded by its bytes

What callers saw: nothing yet. It is the cause of the values that were kept in memory, elsewhere: 2,048 changes of a configuration of up to 1 MiB.

Evidence: TestLargeHistoryIsForgotten on the code before: 198 MiB of history for 198 changes of 1 MiB.

Change: the history keeps at most 8 MiB of values besides 2,048 changes.

Result: passes; TestFollowersEndAtTheSameItems as before.

--- a/services/replicator/replicator.go
+++ b/services/replicator/replicator.go
@@ -59,8 +59,12 @@
 // three seconds. A healthy copy of another VM's copy is at most 1.5 seconds old.
 const StaleAfter = 2 * time.Second
 
-// maxHistory is the maximum number of changes kept for followers.
-const maxHistory = 2048
+// maxHistory is the maximum number of changes kept for followers, and maxHistoryBytes that of the
+// bytes of their values.
+const (
+	maxHistory      = 2048
+	maxHistoryBytes = 8 << 20
+)
 
 // maxRemoved is the maximum number of removed keys that are remembered.
 const maxRemoved = 8192
@@ -164,7 +168,7 @@
 func (c *Cache) recordChanges(changes []Item, b Batch, now time.Time) {
 	slices.SortStableFunc(changes, func(a, b Item) int { return int(int64(a.Revision) - int64(b.Revision)) })
 	c.history = append(c.history, changes...)
-	if n := len(c.history) - maxHistory; n > 0 {
+	if n := excessHistory(c.history); n > 0 {
 		c.compacted = max(c.compacted, c.history[n-1].Revision)
 		c.history = slices.Delete(c.history, 0, n)
 	}
@@ -178,6 +182,17 @@
 	}
 }
 
+// excessHistory returns the number of changes at the start of history that exceed its bounds.
+func excessHistory(history []Item) int {
+	size := 0
+	for i := len(history) - 1; i >= 0; i-- {
+		if size += len(history[i].Value); size > maxHistoryBytes || len(history)-i > maxHistory {
+			return i + 1
+		}
+	}
+	return 0
+}
+
 // Revision returns the revision up to which the copy is complete; 0 before the first snapshot.
 func (c *Cache) Revision() uint64 {
 	c.mu.Lock()
--- a/services/replicator/replicator_test.go
+++ b/services/replicator/replicator_test.go
@@ -93,6 +93,28 @@
 	is.Equal(len(c.items), 0)
 }
 
+// TestLargeHistoryIsForgotten guards against a VM that runs out of memory because large values, such as
+// configurations, change often. Followers that are too far behind must read a snapshot.
+func TestLargeHistoryIsForgotten(t *testing.T) {
+	is := is.New(t)
+	var c Cache
+	c.Load(Batch{Cursor: Cursor{Revision: 1}}, time.Now().Add(time.Hour))
+	size := 0
+	for rev := uint64(2); rev < 200; rev++ {
+		it := Item{Key: "config", Value: make([]byte, 1<<20), Revision: rev}
+		c.Apply(Batch{Items: []Item{it}, Cursor: Cursor{Revision: rev}}, time.Now().Add(time.Hour))
+	}
+	for _, it := range c.history {
+		size += len(it.Value)
+	}
+	is.True(size > 0 && size <= maxHistoryBytes)
+	_, err := c.Changes(t.Context(), Cursor{Revision: 2, Epoch: c.epoch}, time.Second)
+	is.True(errors.Is(err, ErrCompacted))
+	b, err := c.Changes(t.Context(), Cursor{Revision: 197, Epoch: c.epoch}, time.Second)
+	is.NoErr(err)
+	is.Equal(len(b.Items), 2)
+}
+
 // TestFollowersEndAtTheSameItems generates random changes of a store, a reader that misses some of
 // them until its next snapshot, and a follower of the reader. At the end all three must hold the
 // same items.
