A route's number of records can't end the process

What callers saw: with a top_k below 0 or of 2^62 in the configuration the first gathered answer ended the process, on each VM.

Cause: merger.Top made room for as many records as the route asks for.

Evidence: TestTopOfAnyNumber on the code before: panic: runtime error: makeslice: cap out of range.

Change: room for at most the records that the parts hold, and none for a number below 0.

Result: passes.

--- a/modules/merger/merger.go
+++ b/modules/merger/merger.go
@@ -11,9 +11,15 @@
 const RecordSize = 16
 
 // Top returns the n greatest records of all parts in descending order. Records are compared
-// byte by byte, and duplicates are kept. An incomplete record at the end of a part is ignored.
+// byte by byte, and duplicates are kept. There
+// are fewer if the parts hold fewer. An incomplete record at the end of a part is ignored.
 func Top(parts [][]byte, n int) []byte {
-	best := make(minHeap, 0, n)
+	records := 0
+	for _, p := range parts {
+		records += len(p) / RecordSize
+	}
+	n = min(n, records)
+	best := make(minHeap, 0, max(n, 0))
 	for _, p := range parts {
 		for ; n > 0 && len(p) >= RecordSize; p = p[RecordSize:] {
 			switch r := p[:RecordSize]; {
--- a/modules/merger/merger_test.go
+++ b/modules/merger/merger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"slices"
 	"testing"
 
@@ -41,6 +42,17 @@
 	}
 }
 
+// TestTopOfAnyNumber guards against a process that ends because a route asks for fewer than no records,
+// or for more than fit into memory.
+func TestTopOfAnyNumber(t *testing.T) {
+	parts := [][]byte{record(1), record(2)}
+	for n, want := range map[int][]byte{math.MaxInt: append(record(2), record(1)...), math.MinInt: nil, -1: nil, 0: nil} {
+		if got := Top(parts, n); !bytes.Equal(got, want) {
+			t.Errorf("%d: got %v", n, got)
+		}
+	}
+}
+
 func TestTopIsSortedPrefix(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		parts := rapid.SliceOfN(rapid.SliceOfN(rapid.Byte(), 0, 80), 0, 6).Draw(t, "parts")
