An odd or removed fleet record is written anew

What callers saw: after another writer had spoiled or removed the record of the fleet, it stayed so while the fleet didn't change, and after a removal no write succeeded any more: the condition named a revision that was gone. VMs that start know too few others then and take too large a share of the limits. A record of no VMs, an empty one among them, or with members that have no address or port 0 was taken as it was.

Cause: a record that can't be decoded counted as up to date, as only the last good one was compared; a removal was not passed on to the enroller.

Evidence: TestOddRecordIsReplaced on the code before (with a removal that does nothing) fails in all seven cases: 1 write where 2 are due, or no VMs known.

Change: a record needs a VM, and members with addresses and ports, to be read. One that can't be, or is gone, is replaced by the reader of the store after the usual 3 s, under the condition of its revision, or of none.

Result: passes; FuzzDecode (services/enroller) 20 s, no finding.

--- a/services/enroller/enroller.go
+++ b/services/enroller/enroller.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"math"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -38,7 +39,7 @@
 
 // Record is the record of the fleet in the store.
 type Record struct {
-	// VMs is the number of live VMs that are not draining.
+	// VMs is the number of live VMs that are not draining, at least 1 in the store.
 	VMs int
 	// Fastest holds the VMs with the fastest network links of each data centre.
 	Fastest []prober.Member
@@ -58,7 +59,7 @@
 	return b
 }
 
-// Decode decodes a record. Errors match encoder.ErrMalformed.
+// Decode decodes a record, which may have another writer. Errors match encoder.ErrMalformed.
 func Decode(b []byte) (r Record, err error) {
 	err = encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) error {
 		switch num {
@@ -66,6 +67,9 @@
 			r.VMs = int(min(v, math.MaxInt16))
 		case recordMember:
 			m, err := prober.DecodeMember(raw)
+			if err == nil && !(usable(m.Gossip) && usable(m.Link)) {
+				err = encoder.ErrMalformed
+			}
 			if r.Fastest = append(r.Fastest, m); len(r.Fastest) > maxMembers {
 				return encoder.ErrMalformed
 			}
@@ -73,9 +77,16 @@
 		}
 		return nil
 	})
+	if err == nil && r.VMs == 0 {
+		err = encoder.ErrMalformed
+	}
 	return r, err
 }
 
+func usable(a netip.AddrPort) bool {
+	return a.IsValid() && a.Port() > 0
+}
+
 // summarize returns the record of the live members that are not draining.
 func summarize(members []prober.Member) Record {
 	live := slices.DeleteFunc(slices.Clone(members), func(m prober.Member) bool { return m.State >= prober.Dead || m.Draining })
@@ -114,9 +125,14 @@
 	Log   *logrus.Logger
 
 	mu sync.Mutex
-	// stored is the last known record in the store and revision its revision; 0 if there is none.
-	stored   Record
+	// stored is the last record that was read from the store.
+	stored Record
+	// revision is the revision of the key in the store; 0 if it does not exist.
 	revision uint64
+	// observed is the last revision of the store at which the key is known.
+	observed uint64
+	// spoiled is true if the key has no record that can be decoded.
+	spoiled bool
 	// pending is the record to be written. It has been the same since pendingSince.
 	pending      Record
 	pendingSince time.Time
@@ -124,15 +140,16 @@
 }
 
 // ObserveRecord processes the record that the store holds at a revision. Older revisions than the
-// last known one are ignored. If a record can't be decoded, the previous one stays in use.
+// last known one are ignored. If a record can't be decoded, the previous one stays in use until the
+// next write.
 func (e *Enroller) ObserveRecord(value []byte, revision uint64) {
 	r, err := Decode(value)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if revision < e.revision {
+	if revision < e.observed {
 		return
 	}
-	e.revision = revision
+	e.revision, e.observed, e.spoiled = revision, revision, err != nil
 	if err != nil {
 		e.Log.WithField("event", "fleet-record").WithError(err).Warn("fleet record could not be decoded; the previous record stays in use")
 		return
@@ -141,6 +158,18 @@
 	e.Log.WithFields(logrus.Fields{"event": "fleet-record", "vms": r.VMs, "revision": revision}).Info("fleet record read from the store")
 }
 
+// ObserveRemoval processes the removal of the record from the store at a revision. The record stays in
+// use until the next write.
+func (e *Enroller) ObserveRemoval(revision uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if revision < e.observed {
+		return
+	}
+	e.revision, e.observed, e.spoiled = 0, revision, true
+	e.Log.WithFields(logrus.Fields{"event": "fleet-record", "revision": revision}).Warn("fleet record was removed from the store; the previous record stays in use")
+}
+
 // Record returns the last known record of the fleet.
 func (e *Enroller) Record() Record {
 	e.mu.Lock()
@@ -164,8 +193,8 @@
 		return
 	}
 	e.mu.Lock()
-	if revision > e.revision {
-		e.stored, e.revision = r, revision
+	if revision > e.observed {
+		e.stored, e.revision, e.observed, e.spoiled = r, revision, revision, false
 	}
 	e.mu.Unlock()
 	e.Log.WithFields(fields).WithField("revision", revision).Info("fleet record written")
@@ -175,7 +204,7 @@
 func (e *Enroller) needsWrite(r Record, now time.Time) (expect uint64, due bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if r.similar(e.stored) {
+	if r.VMs == 0 || (r.similar(e.stored) && !e.spoiled) {
 		e.pending = Record{}
 		return 0, false
 	}
--- a/services/enroller/enroller_test.go
+++ b/services/enroller/enroller_test.go
@@ -16,16 +16,18 @@
 
 // fakeStore is a Writer that holds one key.
 type fakeStore struct {
-	value    []byte
-	revision uint64
-	writes   int
+	value []byte
+	// revision is 0 while the key does not exist. last is the highest one of a write.
+	revision, last uint64
+	writes         int
 }
 
 func (s *fakeStore) Put(_ context.Context, _ string, value []byte, expect uint64) (uint64, error) {
 	if expect != s.revision {
 		return 0, ErrConflict
 	}
-	s.value, s.revision = value, s.revision+3
+	s.last = max(s.last, s.revision) + 3
+	s.value, s.revision = value, s.last
 	s.writes++
 	return s.revision, nil
 }
@@ -111,6 +113,49 @@
 	is.Equal(b.Record().VMs, 60)
 }
 
+// TestOddRecordIsReplaced guards against a record of another writer, or one that was removed, that stays
+// in the store: VMs that start later would not know the size of the fleet.
+func TestOddRecordIsReplaced(t *testing.T) {
+	noAddr := Record{VMs: 60, Fastest: []prober.Member{{ID: "vm-1"}}}
+	noPort := newMembers(1)[0]
+	noPort.Link = netip.AddrPortFrom(noPort.Link.Addr(), 0)
+	for name, value := range map[string][]byte{
+		"no protobuf":            {0xff},
+		"JSON":                   []byte(`{"service":"s"}`),
+		"empty":                  {},
+		"no VMs":                 {0x08, 0x00},
+		"member without address": noAddr.append(nil),
+		"member without a port":  Record{VMs: 60, Fastest: []prober.Member{noPort}}.append(nil),
+		"removed":                nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &fakeStore{}
+			e, now := newEnroller(s), time.Now()
+			write := func() {
+				for range 15 {
+					e.WriteIfStale(context.Background(), newMembers(60), now)
+					now = now.Add(time.Second)
+				}
+			}
+			write()
+			is.Equal(s.writes, 1)
+			s.value, s.revision = value, s.revision+1
+			if value == nil {
+				e.ObserveRemoval(s.revision)
+				s.revision = 0
+			} else {
+				e.ObserveRecord(value, s.revision)
+			}
+			is.Equal(e.Record().VMs, 60)
+			is.Equal(len(e.Record().Fastest), 3*maxPerDataCentre)
+			write()
+			is.Equal(s.writes, 2)
+			is.Equal(s.value, e.Record().append(nil))
+		})
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(summarize(newMembers(20)).append(nil))
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -54,9 +54,9 @@
 	log     *logrus.Logger
 	// Cache is the copy of the store. Other VMs may follow it.
 	Cache replicator.Cache
-	// OnFleetRecord is called with each new fleet record; nil for none. It must be set before use
-	// and must not call the Follower, whose lock is held during the call.
-	OnFleetRecord func(value []byte, revision uint64)
+	// OnFleetRecord is called with each change of the fleet record; nil for none. It must be set before
+	// use and must not call the Follower, whose lock is held during the call.
+	OnFleetRecord func(it replicator.Item)
 
 	reads *prometheus.CounterVec
 	state atomic.Pointer[forwarder.State]
@@ -130,8 +130,8 @@
 	case ReplicaKey:
 		f.applyReplica(name, it, now)
 	case FleetKey:
-		if f.OnFleetRecord != nil && !it.Removed {
-			f.OnFleetRecord(it.Value, it.Revision)
+		if f.OnFleetRecord != nil {
+			f.OnFleetRecord(it)
 		}
 	case OtherKey:
 	}
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -34,6 +34,7 @@
 	"github.com/ebonylock/ebonylock/services/gossiper"
 	"github.com/ebonylock/ebonylock/services/linker"
 	"github.com/ebonylock/ebonylock/services/relayer"
+	"github.com/ebonylock/ebonylock/services/replicator"
 )
 
 const (
@@ -131,8 +132,12 @@
 	d.log = log
 	d.follow = follower.New(store.Decoder{}, log)
 	d.enroll = &enroller.Enroller{Store: store.New(site.Store), Key: store.KeyFleet, Log: log}
-	d.follow.OnFleetRecord = func(value []byte, revision uint64) {
-		d.enroll.ObserveRecord(value, revision)
+	d.follow.OnFleetRecord = func(it replicator.Item) {
+		if it.Removed {
+			d.enroll.ObserveRemoval(it.Revision)
+			return
+		}
+		d.enroll.ObserveRecord(it.Value, it.Revision)
 		// The follower holds its lock during this call, and updateMembers calls the follower.
 		go d.updateMembers()
 	}
