--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./platform/operator
 	$(GO) test -run '^$$' -fuzz FuzzReply -fuzztime $(FUZZTIME) ./platform/replica
 	$(GO) test -run '^$$' -fuzz FuzzDecodeEntry -fuzztime $(FUZZTIME) ./platform/replica
+	$(GO) test -run '^$$' -fuzz FuzzDecodeItems -fuzztime $(FUZZTIME) ./platform/store
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./modules/reporter
 	$(GO) test -run '^$$' -fuzz FuzzDecodeCall -fuzztime $(FUZZTIME) ./services/gatherer
 	$(GO) test -run '^$$' -fuzz FuzzDecodePartial -fuzztime $(FUZZTIME) ./services/gatherer
