A malformed backend server in the VM list hides no other

What callers saw: with one malformed entry in the platform's list (the product's own interface), VMs stopped following it, without a line, until the entry was gone: no new backend server was used, one that left stayed in use.

Cause: the list was decoded as a whole, and any malformed entry was an error.

Change: backend servers are decoded one by one. A malformed one is left out, counted, and recorded as event list-malformed when the count changes.

--- a/modules/lister/lister.go
+++ b/modules/lister/lister.go
@@ -3,6 +3,7 @@
 package lister
 
 import (
+	"encoding/json"
 	"net/netip"
 	"time"
 
@@ -34,18 +35,23 @@
 	DataCentre string
 	// Addr is the HTTP address of the server.
 	Addr netip.AddrPort
-	// Slots is the number of requests that the server runs concurrently once warm, at least 1.
+	// Slots is the number of requests that the server runs concurrently once warm, from 1 to maxSlots.
 	Slots int
-	// MaxConns is the number of connections that the server accepts, at least 1.
+	// MaxConns is the number of connections that the server accepts, from 1 to maxSlots.
 	MaxConns int
 	// Leaving is true once the platform has announced the server's removal.
 	Leaving bool
 }
 
+// maxSlots is far above the number of requests and connections that one process handles.
+const maxSlots = 1 << 16
+
 // List is the content of the platform's list at one time.
 type List struct {
 	VMs            []VM
 	BackendServers []BackendServer
+	// Malformed is the number of backend servers that were left out because their entries can't be used.
+	Malformed int
 }
 
 // Client reads the list over HTTP.
@@ -76,12 +82,15 @@
 }
 
 type wireList struct {
-	VMs     []wireVM     `json:"vms"`
-	Servers []wireServer `json:"backend-servers"`
+	VMs []wireVM `json:"vms"`
+	// Servers holds a wireServer each. They are decoded one by one, as a malformed one must not hide
+	// the others.
+	Servers []json.RawMessage `json:"backend-servers"`
 }
 
-// Read returns the current list. It returns an error if the list can't be read before deadline
-// or if any entry is malformed.
+// Read returns the current list without the backend servers whose entries are malformed. It returns
+// an error if the list can't be read before deadline or if any VM is malformed: the number of VMs
+// decides which side of a partition may own servers.
 func (c *Client) Read(deadline time.Time) (List, error) {
 	var in wireList
 	code, err := c.c.Do(fasthttp.MethodGet, "/v1/vms", nil, &in, deadline)
@@ -103,20 +112,32 @@
 		}
 		out.VMs = append(out.VMs, VM{ID: v.ID, DataCentre: v.DataCentre, Gossip: addr, Leaving: v.Leaving})
 	}
-	for _, s := range in.Servers {
-		addr, err := netip.ParseAddrPort(s.Addr)
-		if err != nil || s.ID == "" || s.Slots < 1 || s.MaxConns < 1 {
-			return List{}, oops.Errorf("VM list: malformed backend server %q", s.ID)
+	for _, raw := range in.Servers {
+		if s, err := decodeServer(raw); err == nil {
+			out.BackendServers = append(out.BackendServers, s)
+		} else {
+			out.Malformed++
 		}
-		out.BackendServers = append(out.BackendServers, BackendServer{
-			ID:         s.ID,
-			Service:    s.Service,
-			DataCentre: s.DataCentre,
-			Addr:       addr,
-			Slots:      s.Slots,
-			MaxConns:   s.MaxConns,
-			Leaving:    s.Leaving,
-		})
 	}
 	return out, nil
 }
+
+func decodeServer(raw json.RawMessage) (BackendServer, error) {
+	var s wireServer
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return BackendServer{}, oops.Wrapf(err, "decode backend server")
+	}
+	addr, err := netip.ParseAddrPort(s.Addr)
+	if err != nil || addr.Port() == 0 || s.ID == "" || s.Slots < 1 || s.Slots > maxSlots || s.MaxConns < 1 || s.MaxConns > maxSlots {
+		return BackendServer{}, oops.Errorf("malformed backend server")
+	}
+	return BackendServer{
+		ID:         s.ID,
+		Service:    s.Service,
+		DataCentre: s.DataCentre,
+		Addr:       addr,
+		Slots:      s.Slots,
+		MaxConns:   s.MaxConns,
+		Leaving:    s.Leaving,
+	}, nil
+}
--- a/modules/recorder/recorder.go
+++ b/modules/recorder/recorder.go
@@ -29,6 +29,7 @@
 	ConfigInForce      Kind = "config-in-force"
 	StoreUp            Kind = "store-up"
 	StoreDown          Kind = "store-down"
+	ListMalformed      Kind = "list-malformed"
 	RequestSuspect     Kind = "request-suspect"
 	RequestQuarantined Kind = "request-quarantined"
 )
--- a/services/coordinator/coordinator.go
+++ b/services/coordinator/coordinator.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -238,8 +239,12 @@
 func (c *Coordinator) applyList(list lister.List) {
 	c.mu.Lock()
 	changed := !c.haveList || !slices.Equal(list.VMs, c.list.VMs) || !slices.Equal(list.BackendServers, c.list.BackendServers)
+	malformed := list.Malformed != c.list.Malformed
 	c.list, c.haveList = list, true
 	c.mu.Unlock()
+	if malformed {
+		c.ring.Record(time.Now(), recorder.ListMalformed, "backend-servers", strconv.Itoa(list.Malformed)+" malformed entries left out")
+	}
 	if !changed {
 		return
 	}
