--- a/services/follower/watcher.go
+++ b/services/follower/watcher.go
@@ -28,9 +28,10 @@
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
 	// bootstrapTimeout bounds the first attempt to read the first snapshot. Each further attempt may
-	// take twice as long, as a store with large values needs many pages; each page has a timeout of
-	// its own.
+	// take bootstrapGrowth times as long, as a store with large values needs many pages; each page has
+	// a timeout of its own.
 	bootstrapTimeout    = 600 * time.Millisecond
+	bootstrapGrowth     = 4
 	maxBootstrapTimeout = time.Minute
 	// settleTime is the time for which a VM waits after its first snapshot before it chooses the
 	// sources to follow. In this time it discovers the other VMs.
@@ -130,7 +131,7 @@
 		cancel()
 		if !got {
 			pauser.Pause(ctx, delay)
-			delay, timeout = min(2*delay, maxRetryDelay), min(2*timeout, maxBootstrapTimeout)
+			delay, timeout = min(2*delay, maxRetryDelay), min(bootstrapGrowth*timeout, maxBootstrapTimeout)
 		}
 	}
 }
