pooler: hand on no connection that has unread bytes

Cause: only idle connections were checked for bytes and for a close by the replica; one that was returned while a request waited was not.

Change: Put asks a connection whether it is clean before it hands it on. One that isn't is closed, and another one is opened for the waiter. A connection that was just opened goes to its waiter unchecked, as before: a replica that resets all of them would otherwise be dialled without end.

Result: TestUncleanConnectionIsNotHandedOn fails with the check taken out (the waiter gets the old connection) and passes with it, 3 times with -race.

--- a/modules/pooler/pooler.go
+++ b/modules/pooler/pooler.go
@@ -12,6 +12,9 @@
 	comparable
 	// Usable reports whether an idle connection can still be used.
 	Usable() bool
+	// Clean reports whether the connection is open and has no bytes to read. Such bytes belong to no
+	// request, and the next user would take them for its own.
+	Clean() bool
 	Close() error
 }
 
@@ -91,7 +94,7 @@
 			p.dialFailed(err)
 			return
 		}
-		p.Put(c)
+		p.put(c, true)
 	}()
 }
 
@@ -127,25 +130,35 @@
 	return true, p.open > p.dialing
 }
 
-// Put returns a connection to the pool, or adds a newly opened one. It goes to the waiter that has
-// waited longest, if any.
+// Put returns a connection to the pool. It goes to the waiter that has waited longest, if any. If it
+// isn't clean then, it is closed and another one is opened.
 func (p *Pool[C, W]) Put(c C) {
+	p.put(c, false)
+}
+
+// put is Put, or adds a connection that was just opened if isNew is true. Such a connection goes to its
+// waiter in any case, since opening connections until one is clean might have no end.
+func (p *Pool[C, W]) put(c C, isNew bool) {
 	p.mu.Lock()
-	if p.closed {
+	switch {
+	case p.closed:
 		p.open--
 		p.mu.Unlock()
 		_ = c.Close()
-		return
-	}
-	if len(p.waiting) == 0 {
+	case len(p.waiting) == 0:
 		p.idle = append(p.idle, c)
 		p.mu.Unlock()
-		return
+	case !isNew && !c.Clean():
+		p.open--
+		p.dialIfNeeded()
+		p.mu.Unlock()
+		_ = c.Close()
+	default:
+		w := p.waiting[0]
+		p.waiting = slices.Delete(p.waiting, 0, 1)
+		p.mu.Unlock()
+		w.Deliver(c, nil)
 	}
-	w := p.waiting[0]
-	p.waiting = slices.Delete(p.waiting, 0, 1)
-	p.mu.Unlock()
-	w.Deliver(c, nil)
 }
 
 // ConnClosed records that a connection in use was closed.
@@ -186,7 +199,7 @@
 		p.dialFailed(err)
 		return err
 	}
-	p.Put(c)
+	p.put(c, true)
 	return nil
 }
 
--- a/modules/pooler/pooler_test.go
+++ b/modules/pooler/pooler_test.go
@@ -11,11 +11,13 @@
 )
 
 type fake struct {
-	broken, closed bool
+	broken, unclean, closed bool
 }
 
 func (f *fake) Usable() bool { return !f.broken }
 
+func (f *fake) Clean() bool { return !f.unclean }
+
 func (f *fake) Close() error {
 	f.closed = true
 	return nil
@@ -119,6 +121,38 @@
 	})
 }
 
+// TestUncleanConnectionIsNotHandedOn guards against a reply taken from the bytes that follow another one: a
+// connection with such bytes went straight to the next waiter.
+func TestUncleanConnectionIsNotHandedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := fakePool{Dial: func(context.Context) (*fake, error) { return &fake{}, nil }}
+		a, err := get(&p, 1)
+		is.NoErr(err)
+		w := newWaiter()
+		p.Get(w, 1)
+		a.unclean = true
+		p.Put(a)
+		b := <-w.got
+		is.True(b != a && a.closed && w.err == nil)
+		is.Equal(p.Open(), 1)
+	})
+}
+
+// TestNewConnectionIsHandedOn checks that a new connection goes to its waiter even if the remote end has
+// already closed it. Opening another one instead would have no end.
+func TestNewConnectionIsHandedOn(t *testing.T) {
+	is := is.New(t)
+	dials := 0
+	p := fakePool{Dial: func(context.Context) (*fake, error) {
+		dials++
+		return &fake{unclean: true}, nil
+	}}
+	_, err := get(&p, 1)
+	is.NoErr(err)
+	is.Equal(dials, 1)
+}
+
 // TestRemoveIdle checks that a connection closed by the remote end is not handed out again.
 func TestRemoveIdle(t *testing.T) {
 	is := is.New(t)
