A few long requests don't make a stopping VM refuse a route; short graces

Cause: one outlier stood for the route, and margins were constants whatever the grace. Change: the route's recent durations are counted in buckets; requests are taken while at most one of 32 lasted longer than what is left. Of a short grace the margins are a quarter and an eighth. The 503 has a Retry-After.

--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -91,7 +91,7 @@
 	// usualTimeouts holds the usual timeout of callers by route name.
 	usualTimeouts map[string]*usualTimeout
 	// durations holds how long requests have lasted by route name.
-	durations map[string]*longestDuration
+	durations map[string]*durations
 
 	// stopping is closed once stop is set.
 	stopping chan struct{}
@@ -112,7 +112,7 @@
 		routineLog:    cfg.RoutineLog,
 		budgets:       make(map[string]*budgeter.Window),
 		usualTimeouts: make(map[string]*usualTimeout),
-		durations:     make(map[string]*longestDuration),
+		durations:     make(map[string]*durations),
 		stopping:      make(chan struct{}),
 	}
 }
@@ -165,7 +165,7 @@
 		resp = newFanout(fl, sel, decider.MinShards(m.MinShardShare, n)).run()
 	}
 	if ctx.Err() == nil && resp.Status != http.StatusServiceUnavailable {
-		f.longest(m.Name).observe(time.Since(r.Arrived), time.Now())
+		f.routeDurations(m.Name).observe(time.Since(r.Arrived), time.Now())
 	}
 	return f.withRecord(fl, r, resp, fl.outcome(&resp))
 }
@@ -288,5 +288,5 @@
 	f.ranks.Prune(before)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	maps.DeleteFunc(f.durations, func(_ string, l *longestDuration) bool { return l.unusedSince(before) })
+	maps.DeleteFunc(f.durations, func(_ string, l *durations) bool { return l.unusedSince(before) })
 }
--- a/services/forwarder/responses.go
+++ b/services/forwarder/responses.go
@@ -85,10 +85,14 @@
 
 // timeoutResponse returns the response to a request whose time is over.
 func (fl *flight) timeoutResponse() Response {
-	if !fl.mayHaveRun() {
-		return notRunResponse(0)
+	switch {
+	case fl.mayHaveRun():
+		return Response{Status: http.StatusGatewayTimeout}
+	case fl.f.stop.Load() != nil:
+		// The caller may have time left, unlike the VM.
+		return notRunResponse(decider.DefaultRetryAfter)
 	}
-	return Response{Status: http.StatusGatewayTimeout}
+	return notRunResponse(0)
 }
 
 // mayHaveRun reports whether any replica may have started to run the request.
--- a/services/forwarder/stop.go
+++ b/services/forwarder/stop.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -30,75 +31,93 @@
 }
 
 // endsInTime reports whether a request that arrives at now and may last for timeout should be
-// complete when the VM ends. It is if its timeout ends earlier, or if no recent request of its route
-// lasted for longer than the time that is left.
+// complete when the VM ends. It is if its timeout ends earlier, or if hardly any recent request of its
+// route lasted for longer than the time that is left.
 func (f *Forwarder) endsInTime(route string, now time.Time, timeout time.Duration) bool {
 	stop := f.stop.Load()
 	if stop == nil {
 		return true
 	}
 	left := stop.end.Sub(now)
-	if timeout <= left {
-		return true
-	}
-	longest, known := f.longest(route).get(now)
-	return known && longest < left
+	return timeout <= left || f.routeDurations(route).exceedShare(left, now) <= maxCutShare
 }
 
-// longest returns the tracker of how long the requests of a route last.
-func (f *Forwarder) longest(route string) *longestDuration {
+// maxCutShare is the largest share of the recent requests of a route that lasted longer than what is left
+// of a VM, for which the VM still takes requests of the route. A few that hang must not refuse all others.
+const maxCutShare = 1.0 / 32
+
+// routeDurations returns the durations of the requests of a route.
+func (f *Forwarder) routeDurations(route string) *durations {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	l := f.durations[route]
-	if l == nil {
-		l = &longestDuration{}
-		f.durations[route] = l
+	d := f.durations[route]
+	if d == nil {
+		d = &durations{}
+		f.durations[route] = d
 	}
-	return l
+	return d
 }
 
-// durationWindow is the time for which longestDuration remembers a value at least.
-const durationWindow = 10 * time.Second
+const (
+	// durationWindow is the time for which durations remembers a value at least.
+	durationWindow = 10 * time.Second
+	// durationBuckets is the number of buckets. Two of them double the duration, so that they range
+	// from a millisecond to over a minute.
+	durationBuckets = 33
+)
 
-// longestDuration tracks the longest of the durations observed during the last one to two windows of
-// durationWindow.
-type longestDuration struct {
+// durations counts requests by how long they lasted, over the last one to two windows of durationWindow.
+type durations struct {
 	mu sync.Mutex
-	// current is the maximum since began, previous that of the window before. Each is 0 if nothing
-	// was observed.
-	current, previous time.Duration
+	// current holds the counts since began, previous those of the window before.
+	current, previous [durationBuckets]uint32
 	began             time.Time
 }
 
-func (l *longestDuration) observe(d time.Duration, now time.Time) {
+// durationBucket returns the bucket of a duration. Bucket i ends at 2^(i/2) ms.
+func durationBucket(d time.Duration) int {
+	i := int(math.Ceil(2 * math.Log2(max(d.Seconds()*1000, 1))))
+	return min(i, durationBuckets-1)
+}
+
+func (l *durations) observe(d time.Duration, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now)
-	l.current = max(l.current, d)
+	l.current[durationBucket(d)]++
 }
 
-// get returns the longest duration; known is false if nothing was observed.
-func (l *longestDuration) get(now time.Time) (longest time.Duration, known bool) {
+// exceedShare returns the share of the requests that may have lasted longer than d; 1 if there were none.
+func (l *durations) exceedShare(d time.Duration, now time.Time) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now)
-	longest = max(l.current, l.previous)
-	return longest, longest > 0
+	total, longer := 0, 0
+	for i := range durationBuckets {
+		n := int(l.current[i] + l.previous[i])
+		if total += n; i >= durationBucket(d) {
+			longer += n
+		}
+	}
+	if total == 0 {
+		return 1
+	}
+	return float64(longer) / float64(total)
 }
 
 // unusedSince reports whether the last window began earlier than t.
-func (l *longestDuration) unusedSince(t time.Time) bool {
+func (l *durations) unusedSince(t time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.began.Before(t)
 }
 
 // advance begins a new window if the current one is over.
-func (l *longestDuration) advance(now time.Time) {
+func (l *durations) advance(now time.Time) {
 	switch age := now.Sub(l.began); {
 	case age >= 2*durationWindow:
-		l.current, l.previous, l.began = 0, 0, now
+		l.current, l.previous, l.began = [durationBuckets]uint32{}, [durationBuckets]uint32{}, now
 	case age >= durationWindow:
-		l.current, l.previous, l.began = 0, l.current, now
+		l.current, l.previous, l.began = [durationBuckets]uint32{}, l.current, now
 	}
 }
--- a/services/forwarder/stop_test.go
+++ b/services/forwarder/stop_test.go
@@ -66,6 +66,47 @@
 	})
 }
 
+// TestOneLongRequestRefusesNoOthers guards against a stopping VM that refuses all requests of a route because one of
+// them has hung.
+func TestOneLongRequestRefusesNoOthers(t *testing.T) {
+	hang := true
+	runTest(t, true, func(*registrar.Candidate) behaviour {
+		if hang {
+			return silent()
+		}
+		return served(10 * time.Millisecond)
+	}, func(is *is.I, f *Forwarder, b *fakeBackend) {
+		is.Equal((<-serveAsync(f, request("/write/x", 15*time.Second))).Status, http.StatusGatewayTimeout)
+		b.mu.Lock()
+		hang = false
+		b.mu.Unlock()
+		serve := func() int { return (<-serveAsync(f, request("/write/x", 15*time.Second))).Status }
+		for range 100 {
+			is.Equal(serve(), http.StatusOK)
+		}
+		f.Stop(time.Now().Add(time.Second)) // the route's timeout is 1.5 s
+		is.Equal(serve(), http.StatusOK)
+	})
+}
+
+// TestDurationsAreForgotten checks that durations count for one to two windows.
+func TestDurationsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	var d durations
+	is.Equal(d.exceedShare(time.Second, now), 1.0) // unknown
+	d.observe(2*time.Second, now)
+	for range 3 {
+		d.observe(100*time.Millisecond, now)
+	}
+	is.Equal(d.exceedShare(time.Second, now.Add(durationWindow)), 0.25)
+	d.observe(100*time.Millisecond, now.Add(durationWindow))
+	is.Equal(d.exceedShare(time.Second, now.Add(2*durationWindow)), 0.0)
+	is.Equal(d.exceedShare(time.Hour, now.Add(2*durationWindow)), 0.0)
+	d.observe(-time.Second, now.Add(2*durationWindow))
+	is.Equal(d.exceedShare(time.Minute, now.Add(4*durationWindow)), 1.0)
+}
+
 // TestPartsAreSentBeforeTheVMEnds guards against a gathered response that is cut off although it has
 // enough parts: the missing shard would have been waited for beyond the end of a stopping VM.
 func TestPartsAreSentBeforeTheVMEnds(t *testing.T) {
--- a/services/launcher/stopper.go
+++ b/services/launcher/stopper.go
@@ -13,11 +13,11 @@
 	minDrain = 3 * time.Second
 	// quietPeriod is the time without a new connection or request after which a stopping VM exits.
 	quietPeriod = 700 * time.Millisecond
-	// answerMargin is the part of the grace period that remains when the last answer is due. It is for
-	// sending that answer and for leaving the fleet.
+	// answerMargin is the part of the grace period that remains when the last answer is due, for sending
+	// that answer and for leaving the fleet. exitMargin is the part that is reserved for the exit of the
+	// process. Of a short grace period they are at most a quarter and an eighth.
 	answerMargin = 500 * time.Millisecond
-	// exitMargin is the part of the grace period that is reserved for the exit of the process.
-	exitMargin = 150 * time.Millisecond
+	exitMargin   = 150 * time.Millisecond
 )
 
 // traffic is the traffic that has to end before the process may exit.
@@ -48,7 +48,8 @@
 // read is answered, unless the grace period is over except for exitMargin.
 func (s stopper) stop(ctx context.Context) {
 	began := time.Now()
-	end, exit := began.Add(s.gracePeriod-answerMargin), began.Add(s.gracePeriod-exitMargin)
+	end := began.Add(s.gracePeriod - min(answerMargin, s.gracePeriod/4))
+	exit := began.Add(s.gracePeriod - min(exitMargin, s.gracePeriod/8))
 	s.traffic.Drain(end)
 	s.wait(ctx, func(now time.Time) bool {
 		idle := s.traffic.InFlight() == 0 && now.Sub(s.traffic.LastTraffic()) > quietPeriod
--- a/services/launcher/stopper_test.go
+++ b/services/launcher/stopper_test.go
@@ -159,3 +159,17 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestShortGracePeriod guards against a process that exits before its last answers are sent because the grace period
+// is shorter than the margins.
+func TestShortGracePeriod(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := fakeTraffic{answerTime: 5 * time.Millisecond, began: time.Now()}
+		f.request(time.Minute)
+		stopper{traffic: &f, gracePeriod: 200 * time.Millisecond, leave: func() {}}.stop(t.Context())
+		is.Equal(f.InFlight(), 0)
+		is.True(time.Since(f.began) < 200*time.Millisecond)
+		time.Sleep(time.Minute)
+	})
+}
