Keep serving when file descriptors run out

What callers saw: once callers had more connections open than the process has file descriptors, the process ended by itself with status 0 and every request in progress was cut.

Cause: gnet ends all its event loops when accept fails once, and closes every connection. fasthttp's server, used for readiness, the link to other VMs, and the callers and operators of "serve", returns from Serve on the same errors, and the daemon ends when a listener does. Nothing limited the connections of callers, so there was also no descriptor left for connections to replicas and the store.

Evidence: TestCallersUseUpDescriptors on the code before (a process limited to 120 descriptors, 240 connections): the line of the running request is "caller-left", with its send "under-way", and the next connection is reset. With the new accept loops but without the limit on connections it fails too: store and readiness report "too many open files" until the callers leave.

Change: package accepter tries a failed accept again and reports it at most once a second; all TCP servers use it. A line "accept-paused" and a counter tell of it.

--- a/modules/loader/vm.go
+++ b/modules/loader/vm.go
@@ -10,6 +10,8 @@
 	LinkMbps float64
 	// Cores is the processor time that the VM has per second, in seconds, 0 if unknown.
 	Cores float64
+	// Descriptors is the number of file descriptors that a process on the VM may have, 0 if unknown.
+	Descriptors int
 }
 
 func (s *VM) section() section {
@@ -18,5 +20,6 @@
 		"data-centre": text(&s.DataCentre, true),
 		"link-mbps":   number(&s.LinkMbps, 0, 1<<20),
 		"cores":       number(&s.Cores, 0, 1<<10),
+		"descriptors": number(&s.Descriptors, 0, 1<<30),
 	}
 }
--- a/routers/answerer/answerer.go
+++ b/routers/answerer/answerer.go
@@ -14,6 +14,7 @@
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
+	"github.com/ebonylock/ebonylock/modules/accepter"
 	"github.com/ebonylock/ebonylock/modules/replier"
 	"github.com/ebonylock/ebonylock/services/linker"
 	"github.com/ebonylock/ebonylock/services/scatterer"
@@ -60,14 +61,17 @@
 
 // Server is the HTTP server for callers.
 type Server struct {
-	cfg      Config
-	search   Searcher
-	submit   Submitter
-	services Services
-	srv      *fasthttp.Server
-	ln       net.Listener
-	inFlight atomic.Int64
-	refusals *prometheus.CounterVec
+	// OnAcceptError is called with errors of accept, at most once a second; the server then tries again.
+	// It must be set before Serve; nil to ignore the errors.
+	OnAcceptError func(err error)
+	cfg           Config
+	search        Searcher
+	submit        Submitter
+	services      Services
+	srv           *fasthttp.Server
+	ln            net.Listener
+	inFlight      atomic.Int64
+	refusals      *prometheus.CounterVec
 }
 
 // Listen binds cfg.Listen. Requests are served once Serve runs.
@@ -105,7 +109,7 @@
 
 // Serve serves requests until Shutdown is called.
 func (s *Server) Serve() error {
-	return oops.Wrapf(s.srv.Serve(s.ln), "serve callers")
+	return oops.Wrapf(s.srv.Serve(&accepter.Listener{Listener: s.ln, OnError: s.OnAcceptError}), "serve callers")
 }
 
 // Shutdown stops accepting connections and waits for the requests in progress, until ctx is done.
--- a/routers/controller/controller.go
+++ b/routers/controller/controller.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
+	"github.com/ebonylock/ebonylock/modules/accepter"
 	"github.com/ebonylock/ebonylock/modules/loader"
 	"github.com/ebonylock/ebonylock/modules/locator"
 	"github.com/ebonylock/ebonylock/modules/planner"
@@ -77,13 +78,16 @@
 
 // Server is the HTTP server for operators.
 type Server struct {
-	cfg     Config
-	fleet   Fleet
-	configs Configs
-	ring    *recorder.Ring
-	srv     *fasthttp.Server
-	ln      net.Listener
-	metrics fasthttp.RequestHandler
+	// OnAcceptError is called with errors of accept, at most once a second; the server then tries again.
+	// It must be set before Serve; nil to ignore the errors.
+	OnAcceptError func(err error)
+	cfg           Config
+	fleet         Fleet
+	configs       Configs
+	ring          *recorder.Ring
+	srv           *fasthttp.Server
+	ln            net.Listener
+	metrics       fasthttp.RequestHandler
 }
 
 // Listen binds cfg.Listen. Requests are served once Serve runs.
@@ -117,7 +121,7 @@
 
 // Serve serves requests until Shutdown is called.
 func (s *Server) Serve() error {
-	return oops.Wrapf(s.srv.Serve(s.ln), "serve operators")
+	return oops.Wrapf(s.srv.Serve(&accepter.Listener{Listener: s.ln, OnError: s.OnAcceptError}), "serve operators")
 }
 
 // Shutdown stops accepting connections and waits for the requests in progress, until ctx is done.
--- a/routers/exposer/exposer.go
+++ b/routers/exposer/exposer.go
@@ -10,6 +10,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/samber/oops"
+
+	"github.com/ebonylock/ebonylock/modules/accepter"
 )
 
 // metricsPath is the URL path of the metrics.
@@ -20,8 +22,11 @@
 
 // Server serves the metrics of a registry.
 type Server struct {
-	ln  net.Listener
-	srv *http.Server
+	// OnAcceptError is called with errors of accept, at most once a second; the server then tries again.
+	// It must be set before Serve; nil to ignore the errors.
+	OnAcceptError func(err error)
+	ln            net.Listener
+	srv           *http.Server
 }
 
 // Listen binds addr. Requests are served once Serve runs.
@@ -42,7 +47,7 @@
 
 // Serve serves requests until Close is called.
 func (s *Server) Serve() error {
-	return oops.Wrap(s.srv.Serve(s.ln))
+	return oops.Wrap(s.srv.Serve(&accepter.Listener{Listener: s.ln, OnError: s.OnAcceptError}))
 }
 
 // Close closes the listener and all connections, which makes Serve return.
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -110,6 +110,8 @@
 	stopOnce sync.Once
 	// cut counts the requests that got no whole answer, by reason.
 	cut *prometheus.CounterVec
+	// acceptPauses counts the seconds in which a listener accepted no connections for a moment.
+	acceptPauses *prometheus.CounterVec
 }
 
 // Values of the label reason of Daemon.cut.
@@ -125,6 +127,9 @@
 	d.cut = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "ebonylock", Name: "requests_cut_total", Help: "Requests that got no whole answer, by reason.",
 	}, []string{"reason"})
+	d.acceptPauses = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "ebonylock", Name: "accept_pauses_total", Help: "Seconds in which no connections were accepted for a moment, by listener.",
+	}, []string{"listener"})
 	log, routine := site.Log.Logger(d.spool.Important()), site.Log.Logger(d.spool.Routine())
 	log.AddHook(vmHook(site.VM.ID))
 	routine.AddHook(vmHook(site.VM.ID))
@@ -165,14 +170,20 @@
 	if err := d.startMembership(calls); err != nil {
 		return nil, err
 	}
+	d.relay.OnAcceptError = d.acceptPaused(linkListener)
 	if d.readiness, err = readier.Listen(site.Requests.Readiness, d.Ready); err != nil {
 		return nil, err
 	}
+	d.readiness.OnAcceptError = d.acceptPaused(readinessListener)
 	if d.metrics, err = exposer.Listen(site.Requests.Metrics, d.registry()); err != nil {
 		return nil, err
 	}
-	d.callers, err = requester.Listen(site.Requests.Listen, d)
-	return d, err
+	d.metrics.OnAcceptError = d.acceptPaused(metricsListener)
+	if d.callers, err = requester.Listen(site.Requests.Listen, d); err != nil {
+		return nil, err
+	}
+	d.callers.LimitConns(maxCallers(site.VM.Descriptors))
+	return d, nil
 }
 
 // vmHook adds the VM's ID to each log line, so that the logs of several VMs can be merged.
@@ -194,6 +205,7 @@
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(
 		d.cut,
+		d.acceptPauses,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/services/relayer/relayer.go
+++ b/services/relayer/relayer.go
@@ -15,6 +15,7 @@
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
+	"github.com/ebonylock/ebonylock/modules/accepter"
 	"github.com/ebonylock/ebonylock/modules/encoder"
 	"github.com/ebonylock/ebonylock/modules/fetcher"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
@@ -59,12 +60,15 @@
 	// OnStream takes over a connection that another VM opened with DialStream, and must close it;
 	// nil to refuse such connections. It must be set before Serve.
 	OnStream func(c net.Conn)
-	source   replicator.Source
-	sealer   *sealer.Sealer
-	ln       net.Listener
-	srv      fasthttp.Server
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// OnAcceptError is called with errors of accept, at most once a second; the server then tries again.
+	// It must be set before Serve; nil to ignore the errors.
+	OnAcceptError func(err error)
+	source        replicator.Source
+	sealer        *sealer.Sealer
+	ln            net.Listener
+	srv           fasthttp.Server
+	ctx           context.Context
+	cancel        context.CancelFunc
 
 	mu sync.Mutex
 	// last is the batch that was compressed last. It is kept because most followers request the
@@ -100,7 +104,7 @@
 
 // Serve accepts connections until Close is called.
 func (s *Server) Serve() error {
-	return oops.Wrap(s.srv.Serve(s.ln))
+	return oops.Wrap(s.srv.Serve(&accepter.Listener{Listener: s.ln, OnError: s.OnAcceptError}))
 }
 
 // Close ends Serve and all requests that wait for changes.
--- a/services/runner/runner.go
+++ b/services/runner/runner.go
@@ -170,6 +170,8 @@
 	defer cancel()
 	d.ring.Record(time.Now(), recorder.Started, d.settings.VM.ID, d.settings.VM.DataCentre)
 	failed := make(chan error, 3)
+	d.callers.OnAcceptError = d.logAcceptError("callers")
+	d.control.OnAcceptError = d.logAcceptError("operators")
 	go func() { failed <- d.callers.Serve() }()
 	go func() { failed <- d.control.Serve() }()
 	go func() { failed <- d.link.Serve(ctx) }()
@@ -199,6 +201,13 @@
 	}
 }
 
+// logAcceptError returns a function that logs an error of accept at the named listener.
+func (d *Daemon) logAcceptError(listener string) func(err error) {
+	return func(err error) {
+		d.log.WithFields(logrus.Fields{"event": "accept-paused", "listener": listener}).WithError(err).Error("no connections accepted for a moment")
+	}
+}
+
 // shutdown releases the backend servers, serves the requests that the balancer still sends, waits for running
 // requests and leaves the fleet.
 func (d *Daemon) shutdown(ctx context.Context) error {
--- a/tests/fleet/site.go
+++ b/tests/fleet/site.go
@@ -25,6 +25,9 @@
 	portPeers
 )
 
+// slowReply is the time that a replica takes for a slow request.
+const slowReply = time.Second
+
 // SiteFleet is a set of VMs on stand-ins of the users' platform. The VMs are separate processes, the
 // stand-ins run in this process.
 type SiteFleet struct {
@@ -39,9 +42,11 @@
 	ID, DataCentre string
 	// Store is the address of the platform's store.
 	Store netip.AddrPort
-	host  netip.Addr
-	cmd   *exec.Cmd
-	done  chan error
+	// Descriptors limits the file descriptors of the process; 0 keeps the limit of this process.
+	Descriptors int
+	host        netip.Addr
+	cmd         *exec.Cmd
+	done        chan error
 	// started is true once the VM's process was started for the first time.
 	started bool
 }
@@ -66,7 +71,7 @@
 
 // StartSite starts a store, the replicas of three services, and VMs. Services a and b are the shards
 // of a search, and their replicas accept maxConns connections (0 is no limit). Service c is a single
-// service. Each service has two replicas. The VMs run the binary in the directory bin, and their
+// service. Each service has two replicas, which take slowReply for a path that ends in "/slow". The VMs run the binary in the directory bin, and their
 // output goes to log. StartSite waits until all VMs answer searches.
 func StartSite(bin string, vms, maxConns int, log io.Writer) (*SiteFleet, error) {
 	store, err := site.NewStore(100)
@@ -100,7 +105,11 @@
 func (f *SiteFleet) addReplicas(maxConns int) error {
 	for _, id := range []string{"a-1", "a-2", "b-1", "b-2", "c-1", "c-2"} {
 		r, err := site.NewReplica(func(g site.Request) site.Reply {
-			return site.Reply{Raw: site.OK(g, strings.Repeat(id[:1], 16)), Delay: time.Millisecond}
+			delay := time.Millisecond
+			if strings.HasSuffix(g.Target, "/slow") {
+				delay = slowReply
+			}
+			return site.Reply{Raw: site.OK(g, strings.Repeat(id[:1], 16)), Delay: delay}
 		})
 		if err != nil {
 			return err
@@ -130,7 +139,11 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		return err
 	}
-	vm.cmd = exec.Command(filepath.Join(bin, "ebonylockd"), "serve-platform", "--settings", file)
+	command := []string{filepath.Join(bin, "ebonylockd"), "serve-platform", "--settings", file}
+	if vm.Descriptors > 0 {
+		command = append([]string{"sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$@"`, vm.Descriptors), "sh"}, command...)
+	}
+	vm.cmd = exec.Command(command[0], command[1:]...)
 	vm.cmd.Stdout, vm.cmd.Stderr = log, log
 	if err := vm.cmd.Start(); err != nil {
 		return err
