Answer requests in progress when a listener ends

What callers saw: if the listener for metrics, readiness or other VMs ended, the process ended at once, and requests in progress, which don't use that listener, were cut. As a closed listener is no error for fasthttp, the status was even 0 for two of them.

Cause: Run returned as soon as any listener ended, for serve and for serve-platform.

Evidence: TestFailedListenerCutsNothing on the code before, all three cases: "the VM ended before the request was answered".

Change: the end of a listener starts the graceful shutdown, as SIGTERM does; the process then exits with status 1 and a line "failed".

Why it works: the graceful shutdown waits for what is in progress, and the listener for callers still serves its open connections.

Measured: TestFailedListenerCutsNothing passes with -race.

--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/netip"
@@ -387,13 +388,25 @@
 	return t.Listener.InFlight() + t.forward.ActiveCalls()
 }
 
+// ErrListenerEnded is returned by Run if a listener ended although the VM was not asked to stop.
+var ErrListenerEnded = errors.New("listener ended")
+
+// stopAfterFailure shuts down gracefully after a listener has ended with err. The requests in progress don't
+// depend on it.
+func (d *Daemon) stopAfterFailure(ctx context.Context, err error) error {
+	err = errors.Join(ErrListenerEnded, err)
+	d.log.WithField("event", "failed").WithError(err).Error("a listener ended; the VM stops")
+	d.shutdown(ctx)
+	return err
+}
+
 // Stop begins the graceful shutdown.
 func (d *Daemon) Stop() {
 	d.stopOnce.Do(func() { close(d.stop) })
 }
 
-// Run serves until the graceful shutdown that Stop starts has finished, until a listener fails, or until
-// ctx ends.
+// Run serves until the graceful shutdown has finished that Stop or the end of a listener starts, or until ctx
+// ends.
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -412,9 +425,9 @@
 	}).Info("VM started")
 	select {
 	case err := <-failed:
-		return err
+		return d.stopAfterFailure(ctx, err)
 	case err := <-d.callers.Ended():
-		return err
+		return d.stopAfterFailure(ctx, err)
 	case <-ctx.Done():
 		return nil
 	case <-d.stop:
--- a/services/launcher/launcher_test.go
+++ b/services/launcher/launcher_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -246,6 +247,40 @@
 	vm.runErr <- nil
 }
 
+// TestFailedListenerCutsNothing guards against requests that are cut because a listener of the VM has failed: the
+// VM must not end before they are answered.
+func TestFailedListenerCutsNothing(t *testing.T) {
+	for name, fail := range map[string]func(d *Daemon){
+		"metrics":   func(d *Daemon) { d.metrics.Close() },
+		"readiness": func(d *Daemon) { d.readiness.Close() },
+		"link":      func(d *Daemon) { d.relay.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			vm := start(t)
+			is := vm.is
+			vm.waitFor(func() bool { resp, _ := vm.get("wait", "/write/x"); return resp.StatusCode == 200 })
+			before := len(vm.replicas["c-1"].Requests())
+			done := make(chan int, 1)
+			go func() {
+				resp, _ := vm.get("r-1", "/write/slow")
+				done <- resp.StatusCode
+			}()
+			vm.waitFor(func() bool { return len(vm.replicas["c-1"].Requests()) > before })
+			fail(vm.d)
+			select {
+			case err := <-vm.runErr:
+				vm.runErr <- err
+				t.Fatal("the VM ended before the request was answered")
+			case status := <-done:
+				is.Equal(status, 200)
+			}
+			err := <-vm.runErr
+			vm.runErr <- nil
+			is.True(errors.Is(err, ErrListenerEnded)) // the process ends with a failure
+		})
+	}
+}
+
 // TestRefusalAsTheVMLeaves checks that a request that a stopping VM refuses in its last second is logged as
 // well.
 func TestRefusalAsTheVMLeaves(t *testing.T) {
--- a/services/runner/runner.go
+++ b/services/runner/runner.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -163,8 +164,11 @@
 	d.stopOnce.Do(func() { close(d.stop) })
 }
 
-// Run serves until the graceful shutdown that Stop starts has finished, or until a listener fails. If ctx ends,
-// it returns without waiting for running requests.
+// ErrListenerEnded is returned by Run if a listener ended although the VM was not asked to stop.
+var ErrListenerEnded = errors.New("listener ended")
+
+// Run serves until the graceful shutdown has finished that Stop or the end of a listener starts. If ctx ends, it
+// returns without waiting for running requests.
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -193,7 +197,9 @@
 	}).Info("entry VM started")
 	select {
 	case err := <-failed:
-		return err
+		// The requests in progress don't depend on the listener that ended.
+		d.log.WithError(err).Error("a listener ended; the VM stops")
+		return errors.Join(ErrListenerEnded, err, d.shutdown(ctx))
 	case <-ctx.Done():
 		return nil
 	case <-d.stop:
