Handle SIGTERM at any time

What callers saw: a VM that got SIGTERM while it read its settings file went on as if nothing had happened, and was killed with its requests in progress at the end of the grace period. A VM that got SIGHUP or SIGTERM just after it had bound its addresses was killed by the signal.

Cause: one goroutine both read the file and waited for signals. The channel for signals held four, so several SIGHUPs before a SIGTERM could also push it out. Signals were caught only after launcher.New (and runner.New for "serve") had bound all addresses.

That a request was read in that short time was not shown.

Change: stop signals have a channel and a goroutine of their own; SIGHUP has another channel. Both are set up before an address is bound, SIGHUP before the settings are read.

Why it works: nothing that can block lies between SIGTERM and Stop, and one pending stop signal is enough.

--- a/cmd/ebonylockd/serve.go
+++ b/cmd/ebonylockd/serve.go
@@ -27,12 +27,14 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	signals := make(chan os.Signal, 2)
+	// From here on a signal must not kill the process, as callers connect as soon as New has bound its
+	// addresses.
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	d, err := runner.New(s, s.Log.Logger(os.Stderr))
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
 		d.Stop()
--- a/cmd/ebonylockd/serve_platform.go
+++ b/cmd/ebonylockd/serve_platform.go
@@ -35,20 +35,28 @@
 const settingsPollInterval = 2 * time.Second
 
 func servePlatform(ctx context.Context, c *cli.Command) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	file := c.String("settings")
 	site, data, err := readSite(file)
 	if err != nil {
 		return err
 	}
 	debug.SetMemoryLimit(memoryLimit)
+	stops := make(chan os.Signal, 1)
+	// From here on a signal must not kill the process, as callers connect as soon as New has bound its
+	// addresses.
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	d, err := launcher.New(site, os.Stdout)
 	if err != nil {
 		return err
 	}
 	go d.TuneMemory(ctx)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	go watchSettings(file, data, d, signals)
+	go func() {
+		<-stops
+		d.Stop()
+	}()
+	go watchSettings(file, data, d, hangups)
 	return d.Run(ctx)
 }
 
@@ -61,19 +69,15 @@
 	return site, data, err
 }
 
-// watchSettings reloads the settings on SIGHUP, and when a check at settingsPollInterval finds the
-// file changed from the content in loaded. Any other signal stops the daemon and ends the watch.
-func watchSettings(file string, loaded []byte, d *launcher.Daemon, signals <-chan os.Signal) {
+// watchSettings reloads the settings at each signal in hangups, and when a check at settingsPollInterval finds the
+// file changed from the content in loaded. Reading the file may block.
+func watchSettings(file string, loaded []byte, d *launcher.Daemon, hangups <-chan os.Signal) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
 		hangup := false
 		select {
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				d.Stop()
-				return
-			}
+		case <-hangups:
 			hangup = true
 		case <-ticker.C:
 		}
--- a/tests/fleet/site.go
+++ b/tests/fleet/site.go
@@ -62,6 +62,11 @@
 	return netip.AddrPortFrom(vm.host, portRequests).String()
 }
 
+// Link returns the address of the listener for other VMs, which is the first one that a VM binds.
+func (vm *SiteVM) Link() string {
+	return netip.AddrPortFrom(vm.host, portPeers).String()
+}
+
 // siteHost returns the loopback address of the VM with the given number. It is derived from the ID of
 // this process, so that VMs of other test processes have other addresses.
 func siteHost(vm int) netip.Addr {
@@ -182,6 +187,13 @@
 	}
 }
 
+// Err waits until the VM's process has ended and returns its error.
+func (vm *SiteVM) Err() error {
+	err := <-vm.done
+	vm.done <- err
+	return err
+}
+
 // Ready reports whether the VM's readiness check succeeds. Like the load balancer, it opens a new
 // connection for each check.
 func (vm *SiteVM) Ready(timeout time.Duration) bool {
