Keep running when the reader of the log leaves

What callers saw: when the process that reads a VM's log ended, the VM ended too at its next line, and requests in progress got no answer.

Cause: the Go runtime ends a process that writes to a broken pipe on its standard output or error, unless SIGPIPE is caught or ignored.

Change: SIGPIPE is ignored. The write then fails, and the log line is lost, which the spooler and logrus allow for.

--- a/cmd/ebonylockd/main.go
+++ b/cmd/ebonylockd/main.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 )
@@ -26,6 +28,8 @@
 		EnableShellCompletion: true,
 		Commands:              []*cli.Command{serveCommand(), servePlatformCommand(), checkSettingsCommand()},
 	}
+	// The runtime would end the process when the reader of its log has left.
+	signal.Ignore(syscall.SIGPIPE)
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "ebonylockd:", err)
 		os.Exit(exitCode(err))
--- a/tests/path/signals_test.go
+++ b/tests/path/signals_test.go
@@ -74,6 +74,21 @@
 	is.NoErr(vm.Err())           // with status 0
 }
 
+// TestLogReaderLeaves guards against a VM that ends, with requests in progress, because nobody reads its log any more.
+func TestLogReaderLeaves(t *testing.T) {
+	is := is.New(t)
+	r, w, err := os.Pipe()
+	is.NoErr(err)
+	go func() { _, _ = r.WriteTo(t.Output()) }()
+	vm := startVM(t, startPlatform(t), t.TempDir(), w)
+	_ = w.Close()
+	c := askSlowly(t, is, vm)
+	_ = r.Close()
+	is.NoErr(vm.Signal(syscall.SIGHUP)) // makes it log a line
+	is.Equal(readStatus(is, c), http.StatusOK)
+	is.True(!vm.Wait(0)) // the process still runs
+}
+
 // TestSignalsDuringStart guards against a VM that a signal kills after it has bound its addresses, so that callers that
 // have connected get no answer.
 func TestSignalsDuringStart(t *testing.T) {
