Let kept connections end before the listener of "serve" does

What callers saw: at a planned stop of "ebonylockd serve", requests on kept connections were cut when they arrived just as the VM closed its connections.

Cause: for the 3 s in which the balancer learns of the stop, answers said nothing of it. Then fasthttp's Shutdown closes each connection that is idle at that moment, and a caller that uses its connection without a pause is likely to have sent a request just then.

Change: from the start of the stop on, each answer carries "Connection: close" and ends its connection.

Why it works: a connection in use ends with an answer during these 3 s, so Shutdown finds only connections that have been idle for as long. A request that arrives on such a one at that very moment is still cut, unread.

--- a/routers/answerer/answerer.go
+++ b/routers/answerer/answerer.go
@@ -70,8 +70,10 @@
 	services      Services
 	srv           *fasthttp.Server
 	ln            net.Listener
-	inFlight      atomic.Int64
-	refusals      *prometheus.CounterVec
+	// draining is true once the connection is closed after each answer.
+	draining atomic.Bool
+	inFlight atomic.Int64
+	refusals *prometheus.CounterVec
 }
 
 // Listen binds cfg.Listen. Requests are served once Serve runs.
@@ -112,6 +114,12 @@
 	return oops.Wrapf(s.srv.Serve(&accepter.Listener{Listener: s.ln, OnError: s.OnAcceptError}), "serve callers")
 }
 
+// Drain closes each connection after its next answer, and tells callers so. Shutdown then finds few connections on
+// which a request may just be arriving.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+}
+
 // Shutdown stops accepting connections and waits for the requests in progress, until ctx is done.
 func (s *Server) Shutdown(ctx context.Context) error {
 	return oops.Wrapf(s.srv.ShutdownWithContext(ctx), "stop serving callers")
@@ -129,6 +137,9 @@
 	path := string(ctx.Path())
 	search, isSearch := strings.CutPrefix(path, "/v1/search/")
 	service, isRequest := strings.CutPrefix(path, "/v1/request/")
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
 	defer s.inFlight.Add(-1)
 	if s.inFlight.Add(1) > int64(s.cfg.MaxInFlight) {
 		outcome := outcomeNotRun
--- a/routers/answerer/answerer_test.go
+++ b/routers/answerer/answerer_test.go
@@ -1,13 +1,17 @@
 package answerer
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -158,3 +162,49 @@
 	is.Equal(s.inFlight.Load(), int64(s.cfg.MaxInFlight)) // a refused request is not counted
 	is.Equal(fake.submits, 1)
 }
+
+// TestStopCutsNoKeptConnection guards against requests that are cut at a stop because they arrive on a kept connection just
+// as it is closed as an idle one. Callers use their connections without a pause until they are told of the close.
+func TestStopCutsNoKeptConnection(t *testing.T) {
+	is := is.New(t)
+	s, url := listen(t, &fakeServices{})
+	addr := strings.TrimPrefix(url, "http://")
+	var wg sync.WaitGroup
+	var answered, cut atomic.Int64
+	for range 8 {
+		c, err := net.Dial("tcp4", addr)
+		is.NoErr(err)
+		wg.Go(func() {
+			defer func() { _ = c.Close() }()
+			for r := bufio.NewReader(c); ; {
+				_, err := io.WriteString(c, "POST /v1/ticket HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+				var w *http.Response
+				if err == nil {
+					w, err = http.ReadResponse(r, nil)
+				}
+				if err != nil {
+					cut.Add(1)
+					return
+				}
+				_, _ = io.Copy(io.Discard, w.Body)
+				answered.Add(1)
+				if w.Close {
+					return
+				}
+			}
+		})
+	}
+	for answered.Load() < 100 {
+		time.Sleep(time.Millisecond)
+	}
+	s.Drain()
+	left := make(chan struct{})
+	go func() { wg.Wait(); close(left) }()
+	select { // the wait for the balancer
+	case <-left:
+	case <-time.After(10 * time.Second):
+	}
+	is.NoErr(s.Shutdown(t.Context()))
+	<-left
+	is.Equal(cut.Load(), int64(0))
+}
--- a/services/runner/runner.go
+++ b/services/runner/runner.go
@@ -219,6 +219,7 @@
 func (d *Daemon) shutdown(ctx context.Context) error {
 	d.log.WithField("vm", d.settings.VM.ID).Info("graceful shutdown started")
 	d.coord.Drain()
+	d.callers.Drain()
 	select {
 	case <-ctx.Done():
 		return nil
