--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/netip"
@@ -102,6 +103,8 @@
 	stopOnce sync.Once
 	// cut counts the requests that got no whole answer, by reason.
 	cut *prometheus.CounterVec
+	// acceptPauses counts the seconds in which a listener accepted no connections for a moment.
+	acceptPauses *prometheus.CounterVec
 }
 
 // Values of the label reason of Daemon.cut.
@@ -117,6 +120,9 @@
 	d.cut = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "ebonylock", Name: "requests_cut_total", Help: "Requests that got no whole answer, by reason.",
 	}, []string{"reason"})
+	d.acceptPauses = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "ebonylock", Name: "accept_pauses_total", Help: "Seconds in which no connections were accepted for a moment, by listener.",
+	}, []string{"listener"})
 	log, routine := site.Log.Logger(d.spool.Important()), site.Log.Logger(d.spool.Routine())
 	log.AddHook(vmHook(site.VM.ID))
 	routine.AddHook(vmHook(site.VM.ID))
@@ -161,14 +167,20 @@
 	if err := d.startMembership(calls); err != nil {
 		return nil, err
 	}
+	d.relay.OnAcceptError = d.acceptPaused(linkListener)
 	if d.readiness, err = readier.Listen(site.Requests.Readiness, d.Ready); err != nil {
 		return nil, err
 	}
+	d.readiness.OnAcceptError = d.acceptPaused(readinessListener)
 	if d.metrics, err = exposer.Listen(site.Requests.Metrics, d.registry()); err != nil {
 		return nil, err
 	}
-	d.callers, err = requester.Listen(site.Requests.Listen, d)
-	return d, err
+	d.metrics.OnAcceptError = d.acceptPaused(metricsListener)
+	if d.callers, err = requester.Listen(site.Requests.Listen, d); err != nil {
+		return nil, err
+	}
+	d.callers.LimitConns(maxCallers(site.VM.Descriptors))
+	return d, nil
 }
 
 // vmHook adds the VM's ID to each log line, so that the logs of several VMs can be merged.
@@ -190,6 +202,7 @@
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(
 		d.cut,
+		d.acceptPauses,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -386,13 +399,25 @@
 	return t.callers.LastTraffic()
 }
 
+// ErrListenerEnded is returned by Run if a listener ended although the VM was not asked to stop.
+var ErrListenerEnded = errors.New("listener ended")
+
+// stopAfterFailure shuts down gracefully after a listener has ended with err. The requests in progress don't
+// depend on it.
+func (d *Daemon) stopAfterFailure(ctx context.Context, err error) error {
+	err = errors.Join(ErrListenerEnded, err)
+	d.log.WithField("event", "failed").WithError(err).Error("a listener ended; the VM stops")
+	d.shutdown(ctx)
+	return err
+}
+
 // Stop begins the graceful shutdown.
 func (d *Daemon) Stop() {
 	d.stopOnce.Do(func() { close(d.stop) })
 }
 
-// Run serves until the graceful shutdown that Stop starts has finished, until a listener fails, or until
-// ctx ends.
+// Run serves until the graceful shutdown has finished that Stop or the end of a listener starts, or until ctx
+// ends.
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -411,9 +436,9 @@
 	}).Info("VM started")
 	select {
 	case err := <-failed:
-		return err
+		return d.stopAfterFailure(ctx, err)
 	case err := <-d.callers.Ended():
-		return err
+		return d.stopAfterFailure(ctx, err)
 	case <-ctx.Done():
 		return nil
 	case <-d.stop:
--- a/services/runner/runner.go
+++ b/services/runner/runner.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -163,13 +164,18 @@
 	d.stopOnce.Do(func() { close(d.stop) })
 }
 
-// Run serves until the graceful shutdown that Stop starts has finished, or until a listener fails. If ctx ends,
-// it returns without waiting for running requests.
+// ErrListenerEnded is returned by Run if a listener ended although the VM was not asked to stop.
+var ErrListenerEnded = errors.New("listener ended")
+
+// Run serves until the graceful shutdown has finished that Stop or the end of a listener starts. If ctx ends, it
+// returns without waiting for running requests.
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d.ring.Record(time.Now(), recorder.Started, d.settings.VM.ID, d.settings.VM.DataCentre)
 	failed := make(chan error, 3)
+	d.callers.OnAcceptError = d.logAcceptError("callers")
+	d.control.OnAcceptError = d.logAcceptError("operators")
 	go func() { failed <- d.callers.Serve() }()
 	go func() { failed <- d.control.Serve() }()
 	go func() { failed <- d.link.Serve(ctx) }()
@@ -191,7 +197,9 @@
 	}).Info("entry VM started")
 	select {
 	case err := <-failed:
-		return err
+		// The requests in progress don't depend on the listener that ended.
+		d.log.WithError(err).Error("a listener ended; the VM stops")
+		return errors.Join(ErrListenerEnded, err, d.shutdown(ctx))
 	case <-ctx.Done():
 		return nil
 	case <-d.stop:
@@ -199,11 +207,19 @@
 	}
 }
 
+// logAcceptError returns a function that logs an error of accept at the named listener.
+func (d *Daemon) logAcceptError(listener string) func(err error) {
+	return func(err error) {
+		d.log.WithFields(logrus.Fields{"event": "accept-paused", "listener": listener}).WithError(err).Error("no connections accepted for a moment")
+	}
+}
+
 // shutdown releases the backend servers, serves the requests that the balancer still sends, waits for running
 // requests and leaves the fleet.
 func (d *Daemon) shutdown(ctx context.Context) error {
 	d.log.WithField("vm", d.settings.VM.ID).Info("graceful shutdown started")
 	d.coord.Drain()
+	d.callers.Drain()
 	select {
 	case <-ctx.Done():
 		return nil
