--- a/routers/answerer/answerer.go
+++ b/routers/answerer/answerer.go
@@ -14,6 +14,7 @@
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
+	"github.com/ebonylock/ebonylock/modules/accepter"
 	"github.com/ebonylock/ebonylock/modules/replier"
 	"github.com/ebonylock/ebonylock/services/linker"
 	"github.com/ebonylock/ebonylock/services/scatterer"
@@ -60,12 +61,17 @@
 
 // Server is the HTTP server for callers.
 type Server struct {
-	cfg      Config
-	search   Searcher
-	submit   Submitter
-	services Services
-	srv      *fasthttp.Server
-	ln       net.Listener
+	// OnAcceptError is called with errors of accept, at most once a second; the server then tries again.
+	// It must be set before Serve; nil to ignore the errors.
+	OnAcceptError func(err error)
+	cfg           Config
+	search        Searcher
+	submit        Submitter
+	services      Services
+	srv           *fasthttp.Server
+	ln            net.Listener
+	// draining is true once the connection is closed after each answer.
+	draining atomic.Bool
 	inFlight atomic.Int64
 	refusals *prometheus.CounterVec
 }
@@ -105,7 +111,13 @@
 
 // Serve serves requests until Shutdown is called.
 func (s *Server) Serve() error {
-	return oops.Wrapf(s.srv.Serve(s.ln), "serve callers")
+	return oops.Wrapf(s.srv.Serve(&accepter.Listener{Listener: s.ln, OnError: s.OnAcceptError}), "serve callers")
+}
+
+// Drain closes each connection after its next answer, and tells callers so. Shutdown then finds few connections on
+// which a request may just be arriving.
+func (s *Server) Drain() {
+	s.draining.Store(true)
 }
 
 // Shutdown stops accepting connections and waits for the requests in progress, until ctx is done.
@@ -125,6 +137,9 @@
 	path := string(ctx.Path())
 	search, isSearch := strings.CutPrefix(path, "/v1/search/")
 	service, isRequest := strings.CutPrefix(path, "/v1/request/")
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
 	defer s.inFlight.Add(-1)
 	if s.inFlight.Add(1) > int64(s.cfg.MaxInFlight) {
 		outcome := outcomeNotRun
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -54,9 +54,9 @@
 	log     *logrus.Logger
 	// Cache is the copy of the store. Other VMs may follow it.
 	Cache replicator.Cache
-	// OnFleetRecord is called with each new fleet record; nil for none. It must be set before use
-	// and must not call the Follower, whose lock is held during the call.
-	OnFleetRecord func(value []byte, revision uint64)
+	// OnFleetRecord is called with each change of the fleet record; nil for none. It must be set before
+	// use and must not call the Follower, whose lock is held during the call.
+	OnFleetRecord func(it replicator.Item)
 
 	reads *prometheus.CounterVec
 	state atomic.Pointer[forwarder.State]
@@ -130,8 +130,8 @@
 	case ReplicaKey:
 		f.applyReplica(name, it, now)
 	case FleetKey:
-		if f.OnFleetRecord != nil && !it.Removed {
-			f.OnFleetRecord(it.Value, it.Revision)
+		if f.OnFleetRecord != nil {
+			f.OnFleetRecord(it)
 		}
 	case OtherKey:
 	}
@@ -167,8 +167,8 @@
 	}
 	r, err := f.decoder.Replica(id, it.Value)
 	if err != nil {
-		f.registry.MarkMissing(id, now)
-		f.log.WithFields(fields).WithError(err).Warn("backend server entry could not be decoded; treated as removed")
+		f.registry.Drop(id)
+		f.log.WithFields(fields).WithError(err).Warn("backend server entry names no usable replica")
 		return
 	}
 	f.registry.Put(r)
@@ -182,7 +182,11 @@
 		return
 	}
 	f.registry.SetEvacuated(f.evacuated)
-	f.state.Store(&forwarder.State{Table: f.table, View: f.registry.View(), VMs: max(f.vms, 1)})
+	view := f.registry.View(time.Now(), func(service string) bool {
+		_, ok := f.table.Config.Services[service]
+		return ok
+	})
+	f.state.Store(&forwarder.State{Table: f.table, View: view, VMs: max(f.vms, 1)})
 }
 
 // ExpireReplicas removes the backend servers whose entries have been missing for too long. It runs
--- a/services/follower/follower_test.go
+++ b/services/follower/follower_test.go
@@ -87,6 +87,23 @@
 	is.Equal(f.State().VMs, 5)
 }
 
+// TestEntryTurnsOdd guards against requests to a replica whose entry another writer has overwritten:
+// it names no replica to use, not even as a last resort, until it is sound again.
+func TestEntryTurnsOdd(t *testing.T) {
+	is := is.New(t)
+	f := New(testDecoder{}, discardLogger())
+	now := time.Now()
+	replicas := func() int { return len(f.State().View.Services["s"]) }
+	f.Load(batch(3, item("config", "4", 1), item("replica/a", "dc-1", 2), item("replica/b", "dc-1", 3)), now)
+	is.Equal(replicas(), 2)
+	f.Apply(batch(4, item("replica/a", "x", 4)), now)
+	is.Equal(replicas(), 1)
+	f.Apply(batch(5, item("replica/a", "dc-1", 5)), now)
+	is.Equal(replicas(), 2)
+	f.expire(now.Add(time.Hour))
+	is.Equal(replicas(), 2)
+}
+
 // testFleet is a store and the VMs that follow it. The index of a VM determines its sources. Each
 // VM has two watchers.
 type testFleet struct {
@@ -377,6 +394,37 @@
 	}
 }
 
+// slowSource is a source whose snapshot takes a while.
+type slowSource struct {
+	replicator.Source
+	took time.Duration
+}
+
+func (s slowSource) Snapshot(ctx context.Context) (replicator.Batch, error) {
+	select {
+	case <-time.After(s.took):
+		return s.Source.Snapshot(ctx)
+	case <-ctx.Done():
+		return replicator.Batch{}, ctx.Err()
+	}
+}
+
+// TestLongSnapshotIsRead guards against a VM that never becomes ready because large values of another
+// writer make the first snapshot longer than an attempt may take.
+func TestLongSnapshotIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
+		defer cancel()
+		store := &replicator.Cache{}
+		store.Load(batch(5, item("config", "1", 5)), time.Now())
+		f := New(testDecoder{}, discardLogger())
+		f.bootstrap(ctx, bootstrapProvider{seed: &replicator.Cache{}, store: slowSource{store, 10 * time.Second}})
+		is.NoErr(ctx.Err())
+		is.True(f.State() != nil)
+	})
+}
+
 // TestShortOutageCausesNoHerd covers a store that turns all VMs away for a moment. The readers have
 // to be back at the store before their copies are stale: otherwise all VMs read the store at once, and
 // the more there are, the longer it takes until it serves them (thundering herd).
