Gatekeeper: what replicas say about further requests

The decider asks it: a replica that wants no request is chosen only if there is no other, and is then declined with a reason of its own (replica-leaving, replica-paused), the last resort included.

--- a/modules/decider/attempts.go
+++ b/modules/decider/attempts.go
@@ -53,6 +53,8 @@
 		return NoReplica
 	case r == nil:
 		return NoOther
+	case r.closed() != "":
+		return r.closed()
 	case a.Running >= max(a.MaxAttempts, 1):
 		return Attempts
 	case a.NotRun > maxNotRunSends:
--- a/modules/decider/decider.go
+++ b/modules/decider/decider.go
@@ -7,6 +7,7 @@
 	"math"
 	"time"
 
+	"github.com/ebonylock/ebonylock/modules/gatekeeper"
 	"github.com/ebonylock/ebonylock/modules/ranker"
 )
 
@@ -37,6 +38,10 @@
 	MayHaveRun = "may-have-run"
 	// NoAnswer means that there can be no response because of other parts.
 	NoAnswer = "no-answer-without-others"
+	// Leaving means that all replicas have said that they leave, or that they want a pause.
+	Leaving = "replica-leaving"
+	// Paused means that all replicas want no request for a while, or leave.
+	Paused = "replica-paused"
 )
 
 const (
@@ -47,6 +52,10 @@
 	missingPenalty = time.Minute
 	// coldPenalty is added to the expected time of a cold replica whose request rate is limited.
 	coldPenalty = 30 * time.Second
+	// pausedPenalty and leavingPenalty are added to the expected time of a replica that wants no
+	// request, so that it is chosen only if no other is left. It then gets no request either.
+	pausedPenalty  = 24 * time.Hour
+	leavingPenalty = 2 * pausedPenalty
 	// noConnPenalty is added to the expected time of a replica without a free connection.
 	noConnPenalty = 5 * time.Second
 	// tooSlowFactor is the ratio of a replica's expected time to the remaining time above which a
@@ -60,6 +69,8 @@
 	// has recovered is noticed.
 	minKnownRuns   = 4
 	maxEvidenceAge = 300 * time.Millisecond
+	// replacementTime is the time in which a replica that leaves is expected to be replaced.
+	replacementTime = time.Second
 )
 
 // Replica is a replica as a candidate for an attempt.
@@ -73,6 +84,8 @@
 	Missing bool
 	// LimitedCold is true while the replica is cold and its request rate is limited.
 	LimitedCold bool
+	// Gate is what the replica has said about further requests.
+	Gate gatekeeper.State
 }
 
 // Cost returns the expected time of a run, with everything that speaks against the replica counted
@@ -91,9 +104,54 @@
 	if r.Missing {
 		cost += missingPenalty
 	}
+	switch r.Gate {
+	case gatekeeper.Open:
+	case gatekeeper.Paused:
+		cost += pausedPenalty
+	case gatekeeper.Leaving:
+		cost += leavingPenalty
+	}
 	return cost
 }
 
+// closed returns the reason why the replica wants no request now, empty if it takes them. It applies to
+// every request, the last resort included.
+func (r *Replica) closed() string {
+	switch r.Gate {
+	case gatekeeper.Paused:
+		return Paused
+	case gatekeeper.Leaving:
+		return Leaving
+	case gatekeeper.Open:
+	}
+	return ""
+}
+
+// Closed returns why none of the replicas of a service takes requests at now, and the time after which
+// one is expected to: the earliest end of a pause, or the time that a replacement takes. The reason is
+// empty if one takes requests, or if there is none.
+func Closed(replicas []gatekeeper.Answer, now time.Time) (reason string, after time.Duration) {
+	for _, g := range replicas {
+		opens := replacementTime
+		switch g.State {
+		case gatekeeper.Open:
+			return "", 0
+		case gatekeeper.Paused:
+			if opens = DefaultRetryAfter; !g.Until.IsZero() {
+				opens = g.Until.Sub(now)
+			}
+			if reason != Paused || opens < after {
+				reason, after = Paused, opens
+			}
+		case gatekeeper.Leaving:
+			if reason == "" {
+				reason, after = Leaving, opens
+			}
+		}
+	}
+	return reason, after
+}
+
 // full reports whether another run would wait for a connection.
 func (r *Replica) full() bool {
 	return r.Running >= r.Conns
--- a/modules/decider/parts.go
+++ b/modules/decider/parts.go
@@ -35,6 +35,8 @@
 		switch {
 		case r == nil:
 			out[i].Reason = NoReplica
+		case r.closed() != "":
+			out[i].Reason = r.closed()
 		case r.hopeless(t):
 			out[i].Reason = Unhealthy
 		case r.excess(t) > 0:
