--- a/modules/reporter/reporter.go
+++ b/modules/reporter/reporter.go
@@ -164,9 +164,10 @@
 	return out[:min(len(out), MaxEntries)]
 }
 
-// Evidence holds the tallies and verdicts of one VM. The zero value is ready for use.
+// Evidence holds the tallies and verdicts of one VM, and the replicas that leave. The zero value is ready for use.
 type Evidence struct {
 	VerdictCache
+	Leavers
 	// unsent holds the runs that this VM has not reported yet, combined all its own runs and those
 	// reported by other VMs.
 	unsent, combined Aggregate
--- a/services/relayer/codec.go
+++ b/services/relayer/codec.go
@@ -26,6 +26,8 @@
 	requestEpoch    protowire.Number = 4
 	// requestTallies holds what the requesting VM has observed of replicas.
 	requestTallies protowire.Number = 5
+	// requestLeavers holds the replicas that have said that they leave.
+	requestLeavers protowire.Number = 6
 )
 
 func (q readRequest) append(b []byte) []byte {
@@ -37,7 +39,7 @@
 	return encoder.AppendVarint(b, requestWait, uint64(q.wait.Milliseconds()))
 }
 
-func decodeRequest(b []byte) (q readRequest, tallies []reporter.Tally, err error) {
+func decodeRequest(b []byte) (q readRequest, tallies []reporter.Tally, leavers []uint64, err error) {
 	err = encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) (err error) {
 		switch num {
 		case requestSnapshot:
@@ -50,10 +52,12 @@
 			q.wait = boundedMilliseconds(v)
 		case requestTallies:
 			tallies, err = reporter.DecodeTallies(raw)
+		case requestLeavers:
+			leavers, err = reporter.DecodeLeavers(raw)
 		}
 		return err
 	})
-	return q, tallies, err
+	return q, tallies, leavers, err
 }
 
 // boundedMilliseconds converts a value that another VM sends to a duration of at most one day.
@@ -69,6 +73,8 @@
 	replyBatch protowire.Number = 2
 	// replyVerdicts holds the verdicts, combined from all VMs, about replicas that perform badly.
 	replyVerdicts protowire.Number = 3
+	// replyLeavers holds the replicas that have said that they leave.
+	replyLeavers protowire.Number = 4
 
 	batchRevision protowire.Number = 1
 	batchItem     protowire.Number = 3
@@ -154,7 +160,7 @@
 	return encoder.AppendBytes(b, replyBatch, batch)
 }
 
-func decodeReply(b []byte) (out replicator.Batch, verdicts []reporter.Verdict, err error) {
+func decodeReply(b []byte) (out replicator.Batch, verdicts []reporter.Verdict, leavers []uint64, err error) {
 	var age time.Duration
 	err = encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) (err error) {
 		switch num {
@@ -169,9 +175,11 @@
 			return err
 		case replyVerdicts:
 			verdicts, err = reporter.DecodeVerdicts(raw)
+		case replyLeavers:
+			leavers, err = reporter.DecodeLeavers(raw)
 		}
 		return err
 	})
 	out.Age = age
-	return out, verdicts, err
+	return out, verdicts, leavers, err
 }
--- a/services/relayer/relayer.go
+++ b/services/relayer/relayer.go
@@ -133,13 +133,14 @@
 		s.handleLoss(ctx, plain)
 		return
 	}
-	q, tallies, err := decodeRequest(plain)
+	q, tallies, leavers, err := decodeRequest(plain)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
 	if s.Evidence != nil {
 		s.Evidence.Merge(tallies, time.Now())
+		s.Evidence.MergeLeavers(leavers, time.Now())
 	}
 	var b replicator.Batch
 	if q.snapshot {
@@ -156,6 +157,7 @@
 		reply := appendReply(nil, b.Age, s.compressed(q, b))
 		if s.Evidence != nil {
 			reply = encoder.AppendBytes(reply, replyVerdicts, reporter.AppendVerdicts(nil, s.Evidence.Evaluate(time.Now())))
+			reply = encoder.AppendBytes(reply, replyLeavers, reporter.AppendLeavers(nil, s.Evidence.RecentLeavers(time.Now())))
 		}
 		ctx.SetBody(s.sealer.Seal(reply))
 	}
@@ -252,6 +254,7 @@
 	plain := q.append(nil)
 	if c.Evidence != nil {
 		plain = encoder.AppendBytes(plain, requestTallies, reporter.AppendTallies(nil, c.Evidence.DrainTallies(time.Now())))
+		plain = encoder.AppendBytes(plain, requestLeavers, reporter.AppendLeavers(nil, c.Evidence.RecentLeavers(time.Now())))
 	}
 	body := c.sealer.Seal(plain)
 	code, reply, err := c.http.Raw(fasthttp.MethodPost, pathRead, "application/octet-stream", body, deadline)
@@ -266,12 +269,13 @@
 	if plain, err = c.sealer.Open(reply); err != nil {
 		return replicator.Batch{}, oops.Wrap(errors.Join(ErrUnreachable, err))
 	}
-	b, verdicts, err := decodeReply(plain)
+	b, verdicts, leavers, err := decodeReply(plain)
 	if err != nil {
 		return replicator.Batch{}, oops.Wrap(errors.Join(ErrUnreachable, err))
 	}
 	if c.Evidence != nil {
 		c.Evidence.Update(verdicts, time.Now())
+		c.Evidence.MergeLeavers(leavers, time.Now())
 	}
 	return b, nil
 }
--- a/services/relayer/relayer_test.go
+++ b/services/relayer/relayer_test.go
@@ -141,7 +141,7 @@
 	is.True(&first[0] == &second[0])
 	is.True(len(first) < 3000) // 25 kB without compression
 	other := s.compressed(readRequest{after: replicator.Cursor{Revision: 4}}, batch(9))
-	got, _, err := decodeReply(appendReply(nil, time.Second, other))
+	got, _, _, err := decodeReply(appendReply(nil, time.Second, other))
 	is.NoErr(err)
 	is.Equal(len(got.Items), 0)
 	is.Equal(got.Age, time.Second)
@@ -150,8 +150,8 @@
 func FuzzDecodeReply(f *testing.F) {
 	f.Add(appendReply(nil, time.Second, compress(batch(3, replicator.Item{Key: "k", Value: []byte("v"), Revision: 2}))))
 	f.Fuzz(func(_ *testing.T, raw []byte) {
-		_, _, _ = decodeReply(raw)
-		_, _, _ = decodeRequest(raw)
+		_, _, _, _ = decodeReply(raw)
+		_, _, _, _ = decodeRequest(raw)
 		_, _ = decodeBatch(raw)
 	})
 }
