Replicas that leave get no more requests; a pause is kept

Cause: no code read either header. Requests that wait are withdrawn when a replica says either. A pause is no failure to the ranker. If all replicas of a service are closed, requests are refused at once, with the earliest end as Retry-After. Counters, gauges and a line for each notice.

--- a/modules/pooler/pooler.go
+++ b/modules/pooler/pooler.go
@@ -130,6 +130,18 @@
 	return true, p.open > p.dialing
 }
 
+// Reject passes err to all waiters.
+func (p *Pool[C, W]) Reject(err error) {
+	p.mu.Lock()
+	waiters := p.waiting
+	p.waiting = nil
+	p.mu.Unlock()
+	var zero C
+	for _, w := range waiters {
+		w.Deliver(zero, err)
+	}
+}
+
 // Put returns a connection to the pool. It goes to the waiter that has waited longest, if any. If it
 // isn't clean then, it is closed and another one is opened.
 func (p *Pool[C, W]) Put(c C) {
--- a/services/forwarder/attempt.go
+++ b/services/forwarder/attempt.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/ebonylock/ebonylock/modules/gatekeeper"
 	"github.com/ebonylock/ebonylock/modules/ranker"
 	"github.com/ebonylock/ebonylock/modules/registrar"
 )
@@ -19,6 +20,8 @@
 	extra float64
 	// sent is the time at which the request was about to be written; zero if it was not written.
 	sent time.Time
+	// closed is true if the request was not written because the replica wants no more requests.
+	closed bool
 	// took and end are set when the flight handles the result.
 	took time.Duration
 	end  string
@@ -51,10 +54,21 @@
 		a.part.budget.Refund(a.extra, now)
 		return false
 	}
+	// The replica may have said that it leaves or wants a pause while the request waited.
+	if g := a.fl.f.gate.Ask(a.to.Key, now); g.State == gatekeeper.Leaving || !g.Until.IsZero() {
+		a.closed = true
+		a.part.budget.Refund(a.extra, now)
+		return false
+	}
 	a.sent = now
 	return true
 }
 
+// Noted implements SendHandler.
+func (a *attempt) Noted(n Notice) {
+	a.fl.f.handleNotice(a.to, n, time.Now())
+}
+
 // Done implements SendHandler.
 func (a *attempt) Done(reply *Reply, err error) {
 	fl, now := a.fl, time.Now()
@@ -65,6 +79,7 @@
 	if !a.sent.IsZero() {
 		run.Duration = now.Sub(a.sent)
 	}
+	fl.f.gate.End(a.to.Key, a.began, run.Outcome == ranker.Served, now)
 	change := fl.f.ranks.End(a.to.Key, a.part.work, run, now)
 	fl.f.logReplicaChange(a, change, err)
 	if errors.Is(err, ErrConnLost) && !fl.callerLeft() {
@@ -80,6 +95,8 @@
 		return ranker.Served
 	case err == nil && reply.Misdirected:
 		return ranker.Unreachable
+	case err == nil && reply.NotRun && reply.Pause > 0:
+		return ranker.Inconclusive // a pause is no failure
 	case err == nil && reply.NotRun:
 		return ranker.Shed
 	case err == nil, errors.Is(err, ErrBadReply):
@@ -102,6 +119,8 @@
 	switch {
 	case errors.Is(r.err, ErrNotSent):
 		return "not-sent"
+	case r.attempt.closed:
+		return "replica-closed"
 	case errors.Is(r.err, ErrNotNeeded):
 		return "not-needed"
 	case errors.Is(r.err, ErrNoFreeConn):
@@ -116,6 +135,8 @@
 		return "error"
 	case r.reply.Misdirected:
 		return "misdirected"
+	case r.reply.NotRun && r.reply.Pause > 0:
+		return "paused"
 	case r.reply.NotRun:
 		return "shed"
 	case !r.reply.Success():
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -61,7 +61,7 @@
 	done   bool
 	reason string
 	// roomAfter is the time after which there is room for the part at its replicas, if reason is
-	// decider.Saturated.
+	// decider.Saturated, decider.Paused or decider.Leaving.
 	roomAfter time.Duration
 	// notNeeded is set once the part needs no further reply. Senders read it from other
 	// goroutines.
@@ -307,12 +307,19 @@
 		return
 	}
 	c := chosen.to
-	fl.setWaiting(p, false)
-	p.tried = append(p.tried, c.ID)
-	a := &attempt{fl: fl, part: p, to: c, began: now, hedge: hedge}
+	extra := 0.0
 	if p.sent+p.inFlight > 0 {
-		a.extra = 1
+		extra = 1
+	}
+	if !fl.f.gate.Begin(c.Key, now) {
+		// Another request has just taken the replica's turn.
+		p.budget.Refund(extra, now)
+		fl.sendBest(p, hedge)
+		return
 	}
+	fl.setWaiting(p, false)
+	p.tried = append(p.tried, c.ID)
+	a := &attempt{fl: fl, part: p, to: c, began: now, hedge: hedge, extra: extra}
 	p.attempts = append(p.attempts, a)
 	p.inFlight++
 	if !hedge && p.ran == 0 && fl.route.Idempotent && fl.route.MaxAttempts > 1 {
@@ -381,6 +388,12 @@
 }
 
 func (fl *flight) giveUp(p *part, reason string) {
+	switch reason {
+	case decider.NoOther, decider.Refused, decider.Paused, decider.Leaving:
+		if closed, after := fl.f.closed(p.list, time.Now()); closed != "" {
+			reason, p.roomAfter = closed, after
+		}
+	}
 	p.done, p.reason = true, reason
 	fl.done++
 	fl.setWaiting(p, false)
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 
 	"github.com/ebonylock/ebonylock/modules/budgeter"
 	"github.com/ebonylock/ebonylock/modules/decider"
+	"github.com/ebonylock/ebonylock/modules/gatekeeper"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/ranker"
 	"github.com/ebonylock/ebonylock/modules/router"
@@ -42,6 +43,9 @@
 	SharedStats ranker.SharedEvidence
 	// Announce informs the other VMs of a loss; may be nil.
 	Announce func(l quarantiner.Loss)
+	// AnnounceLeaver informs the other VMs of a replica that has said that it leaves, named by the hash
+	// of its key; may be nil.
+	AnnounceLeaver func(replica uint64, now time.Time)
 	// Log receives the more important lines. RoutineLog receives the lines of requests answered
 	// without incident, which are dropped first when lines have to be dropped.
 	Log, RoutineLog *logrus.Logger
@@ -75,10 +79,12 @@
 
 // Forwarder serves requests. It is safe for concurrent use.
 type Forwarder struct {
-	cfg             Config
-	states          StateSource
-	backend         Backend
-	ranks           ranker.Ranker
+	cfg     Config
+	states  StateSource
+	backend Backend
+	ranks   ranker.Ranker
+	// gate holds what replicas have said about further requests.
+	gate            gatekeeper.Gatekeeper
 	metrics         *metrics
 	log, routineLog *logrus.Logger
 	started         time.Time
@@ -286,6 +292,7 @@
 // Forget drops the statistics of replicas and routes that were last used earlier than before.
 func (f *Forwarder) Forget(before time.Time) {
 	f.ranks.Prune(before)
+	f.pruneNotices(before)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	maps.DeleteFunc(f.durations, func(_ string, l *durations) bool { return l.unusedSince(before) })
--- a/services/forwarder/forwarder_test.go
+++ b/services/forwarder/forwarder_test.go
@@ -39,6 +39,7 @@
 	sends       map[string]int
 	byShard     map[string]int
 	warmed      []string
+	withdrawn   []string
 	down        map[string]bool
 	canceled    int
 	maxTimeLeft time.Duration
@@ -48,7 +49,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		defer cancel()
-		s.Done(b.exchange(ctx, c, m, s.StillNeeded))
+		reply, err := b.exchange(ctx, c, m, s.StillNeeded)
+		if reply != nil && reply.Notice != (Notice{}) {
+			s.Noted(reply.Notice)
+		}
+		s.Done(reply, err)
 	}()
 	return canceler(cancel)
 }
@@ -82,6 +87,12 @@
 	}
 }
 
+func (b *fakeBackend) Withdraw(c *registrar.Candidate) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.withdrawn = append(b.withdrawn, c.ID)
+}
+
 func (b *fakeBackend) Warm(ctx context.Context, c *registrar.Candidate) error {
 	if c.Service == darkService {
 		<-ctx.Done()
--- a/services/forwarder/metrics.go
+++ b/services/forwarder/metrics.go
@@ -1,7 +1,11 @@
 package forwarder
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/ebonylock/ebonylock/modules/gatekeeper"
 )
 
 // metrics holds the Prometheus metrics of a Forwarder.
@@ -14,6 +18,8 @@
 	sendsVec *prometheus.CounterVec
 	declined *prometheus.CounterVec
 	changes  *prometheus.CounterVec
+	// notices counts the replicas that have said that they leave or want a pause.
+	notices *prometheus.CounterVec
 	// calls counts the calls received from other VMs, hops the calls to other VMs.
 	calls, hops *prometheus.CounterVec
 	hopTime     prometheus.Histogram
@@ -50,6 +56,7 @@
 			Namespace: "ebonylock", Subsystem: "forward", Name: "hop_accepted_seconds",
 			Help: "Time until another VM has taken a call.", Buckets: latencyBuckets,
 		}),
+		notices: counter("replica_notices_total", "Replicas that said that they leave, or want a pause, by kind.", "kind"),
 		changes: counter("replica_changes_total", "Replicas left for signs of death, and taken back.", "change"),
 	}
 	for i, kind := range sendKinds {
@@ -61,5 +68,14 @@
 // Register registers the forwarder's metrics with r.
 func (f *Forwarder) Register(r prometheus.Registerer) {
 	m := f.metrics
-	r.MustRegister(m.requests, m.latency, m.missing, m.sendsVec, m.declined, m.changes, m.calls, m.hops, m.hopTime)
+	r.MustRegister(m.requests, m.latency, m.missing, m.sendsVec, m.declined, m.changes, m.calls, m.hops, m.hopTime, m.notices)
+	for i, state := range []gatekeeper.State{gatekeeper.Leaving, gatekeeper.Paused} {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: "ebonylock", Subsystem: "forward", Name: "replicas_closed",
+			Help: "Replicas that want no requests now, by state.", ConstLabels: prometheus.Labels{"state": state.String()},
+		}, func() float64 {
+			leaving, paused := f.gate.Count(time.Now())
+			return float64([]int{leaving, paused}[i])
+		}))
+	}
 }
--- a/services/forwarder/policy.go
+++ b/services/forwarder/policy.go
@@ -25,6 +25,7 @@
 		r := decider.Replica{
 			Estimate: f.ranks.Estimate(c.Key, c.Slots, p.work, now), Conns: p.conns, Missing: c.Missing,
 			Remote: c.DataCentre != f.cfg.DataCentre, LimitedCold: p.coldLimited && now.Before(c.ColdUntil),
+			Gate: f.gate.StateOf(c.Key, now),
 		}
 		if cost := r.Cost(p.work.TargetLatency); best.Replica == nil || cost < lowest {
 			chosen := r // only the best ones are allocated
--- a/services/forwarder/types.go
+++ b/services/forwarder/types.go
@@ -95,6 +95,9 @@
 	// StillNeeded is called right before the request is written. If it returns false, nothing is
 	// written.
 	StillNeeded() bool
+	// Noted is called with what the head of the reply says about further requests to the replica, as
+	// soon as that head is complete. It must not block.
+	Noted(n Notice)
 	// Done receives the reply or an error. The error matches ErrNotSent, ErrNoFreeConn or
 	// ErrNotNeeded if nothing was sent, otherwise ErrConnLost, ErrBadReply or ErrReplyTimeout.
 	// Done is called exactly once and must not block.
@@ -107,8 +110,17 @@
 	Cancel()
 }
 
+// Notice is what a replica says about further requests in a reply to any request.
+type Notice struct {
+	// Leaving is true when the replica is shutting down and wants no more requests.
+	Leaving bool
+	// Pause is the time for which the replica wants no requests; 0 if it takes them.
+	Pause time.Duration
+}
+
 // Reply is the reply of a replica.
 type Reply struct {
+	Notice
 	Status int
 	Fields []HeaderField
 	Body   []byte
@@ -132,6 +144,8 @@
 type Backend interface {
 	// Send sends m to a replica and reports to s. It does not block.
 	Send(c *registrar.Candidate, m ReplicaRequest, s SendHandler) Exchange
+	// Withdraw ends the exchanges that wait for a connection to a replica. Nothing of them is sent.
+	Withdraw(c *registrar.Candidate)
 	// Warm opens a connection to a replica if there is none.
 	Warm(ctx context.Context, c *registrar.Candidate) error
 	// Probe returns nil if a replica accepts connections.
--- a/services/forwarder/warmer.go
+++ b/services/forwarder/warmer.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/ebonylock/ebonylock/modules/gatekeeper"
 	"github.com/ebonylock/ebonylock/modules/pauser"
 	"github.com/ebonylock/ebonylock/modules/registrar"
 	"github.com/ebonylock/ebonylock/modules/router"
@@ -89,7 +90,7 @@
 		for _, c := range list {
 			key := c.Key
 			known[key] = true
-			if sends && c.DataCentre == f.cfg.DataCentre && !c.Missing && !warmed[key] {
+			if sends && c.DataCentre == f.cfg.DataCentre && !c.Missing && !warmed[key] && f.gate.StateOf(key, time.Now()) == gatekeeper.Open {
 				out = append(out, c)
 				if last := len(out) - 1; first {
 					out[configured], out[last] = out[last], out[configured]
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -159,7 +159,10 @@
 		Quarantine:  &d.quarantine,
 		SharedStats: &d.evidence,
 		Announce:    d.provider.broadcastLoss,
+
+		AnnounceLeaver: d.evidence.AddLeaver,
 	}, d.follow, &d.backend)
+	d.evidence.OnLeaver = d.forward.HandleLeaver
 	calls, err := gatherer.NewServer(gatherKeys, d, log)
 	if err != nil {
 		return nil, err
--- a/services/launcher/launcher_test.go
+++ b/services/launcher/launcher_test.go
@@ -107,6 +107,9 @@
 		if strings.HasSuffix(g.Target, "slow") {
 			return site.Reply{Raw: site.OK(g, "late"), Delay: 300 * time.Millisecond}
 		}
+		if strings.HasSuffix(g.Target, "leave") {
+			return site.Reply{Raw: site.OK(g, id, "Server-Leaving: 1")}
+		}
 		return site.Reply{Raw: site.OK(g, strings.Repeat(id[:1], 16)), Delay: time.Millisecond}
 	})
 	vm.is.NoErr(err)
--- a/tests/fleet/site.go
+++ b/tests/fleet/site.go
@@ -76,8 +76,9 @@
 
 // StartSite starts a store, the replicas of three services, and VMs. Services a and b are the shards
 // of a search, and their replicas accept maxConns connections (0 is no limit). Service c is a single
-// service. Each service has two replicas, which take slowReply for a path that ends in "/slow". The VMs run the binary in the directory bin, and their
-// output goes to log. StartSite waits until all VMs answer searches.
+// service. Each service has two replicas, which take slowReply for a path that ends in "/slow" and say that
+// they leave for one that ends in "/leave". The VMs run the binary in the directory bin, and their output goes to
+// log. StartSite waits until all VMs answer searches.
 func StartSite(bin string, vms, maxConns int, log io.Writer) (*SiteFleet, error) {
 	store, err := site.NewStore(100)
 	if err != nil {
@@ -111,10 +112,14 @@
 	for _, id := range []string{"a-1", "a-2", "b-1", "b-2", "c-1", "c-2"} {
 		r, err := site.NewReplica(func(g site.Request) site.Reply {
 			delay := time.Millisecond
-			if strings.HasSuffix(g.Target, "/slow") {
+			var fields []string
+			switch {
+			case strings.HasSuffix(g.Target, "/slow"):
 				delay = slowReply
+			case strings.HasSuffix(g.Target, "/leave"):
+				fields = append(fields, "Server-Leaving: 1")
 			}
-			return site.Reply{Raw: site.OK(g, strings.Repeat(id[:1], 16)), Delay: delay}
+			return site.Reply{Raw: site.OK(g, strings.Repeat(id[:1], 16), fields...), Delay: delay}
 		})
 		if err != nil {
 			return err
