--- a/cmd/ebonylock/explain.go
+++ b/cmd/ebonylock/explain.go
@@ -134,7 +134,7 @@
 	switch event := other.text("event"); event {
 	case "config", "evacuation", "source-lost", "paused", "reload", "start", "stop":
 		return true
-	case "replica-ejected", "replica-back":
+	case "replica-ejected", "replica-back", "replica-notice":
 		return strings.Contains(request.text("tries")+request.text("missing"), other.text("service"))
 	}
 	return false
@@ -143,7 +143,7 @@
 // formatChange formats a state change on one line.
 func formatChange(l logLine) string {
 	out := l.text("event")
-	for _, name := range []string{"version", "revision", "source", "service", "replica", "data-centre", "out", "gap", "error"} {
+	for _, name := range []string{"version", "revision", "source", "service", "replica", "data-centre", "says", "until", "stored", "out", "gap", "error"} {
 		if v := l.text(name); v != "" {
 			out += " " + name + "=" + strings.ReplaceAll(v, "\n", " ")
 		}
--- a/tests/path/site_test.go
+++ b/tests/path/site_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -55,3 +56,33 @@
 	f.VMs[2].Kill()
 	is.NoErr(f.CheckComplete(f.VMs[0]))
 }
+
+// TestSiteLeaver guards against requests that other VMs send to a replica that has told one VM that it leaves: the
+// VMs tell each other while the store's copy still has it as ready.
+func TestSiteLeaver(t *testing.T) {
+	is := is.New(t)
+	f, err := fleet.StartSite(binDir, 7, 0, t.Output())
+	is.NoErr(err)
+	t.Cleanup(f.Kill)
+	w, _, err := f.VMs[3].Get("bye", "/write/leave")
+	is.NoErr(err)
+	is.Equal(w.StatusCode, http.StatusOK)
+	began := time.Now()
+	for _, vm := range f.VMs {
+		for {
+			m, err := vm.Metrics()
+			is.NoErr(err)
+			if strings.Contains(m, `ebonylock_forward_replicas_closed{state="leaving"} 1`) {
+				t.Logf("%s knows of it after %v", vm.ID, time.Since(began).Round(time.Millisecond))
+				break
+			}
+			if time.Since(began) > time.Minute {
+				t.Fatalf("%s has not heard of the replica that leaves", vm.ID)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		w, _, err := vm.Get("after", "/write/x")
+		is.NoErr(err)
+		is.Equal(w.StatusCode, http.StatusOK)
+	}
+}
