Soak: planned stops in series, patient callers, lost answers

The soak's check for this existed and holds for any request of a process that runs, but the soak could not draw a case:

- callers waited 800 ms, less than the second that remained to the last request that a stopping VM took, so that each request ended in time, whether its replica was slow or its answer was lost
- each connection was used every 12 ms and so was closed by the first answer after SIGTERM; none was idle and used late
- the balancer of the soak took a VM out after one miss, checked four times a second
- answers had 48 bytes, which any socket takes; a connection had one request at a time
- one stop at a time and VM, with no other signal around it

VMs are stopped in turn with less than a grace in between, with SIGHUP right before or after SIGTERM, a second SIGTERM or SIGHUP, reloads of others and new configurations. Servers of a service are slower by 5 to 8 times, or run requests and lose the answers. The balancer takes a VM out after two misses a second apart. New check: a request that was sent together with another one, which was answered, is not dropped after more than 200 ms. LOST and true refusals stay checked at any time of any VM that was not killed or paused, without the excuses of the rule, and have the times of the request since SIGTERM. The random versions of concurrent configuration changes had a data race; they are locked and drawn by the fault.

--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +26,14 @@
 	shutdownTimeout = 8 * time.Second
 	// recoveryTimeout is the time after the last fault within which all VMs must serve complete answers.
 	recoveryTimeout = 12 * time.Second
+	// meanStopSpan is the mean time in which all VMs are stopped in turn.
+	meanStopSpan = 5 * time.Second
+	// maxSecondSignal is the longest time after which a stopping VM gets another signal.
+	maxSecondSignal = 4 * time.Second
+	// serviceFaultFactor is how much longer faults last that concern several servers of a service.
+	serviceFaultFactor = 3
+	// minSlowness and maxSlowness bound the factor by which slow servers are slower.
+	minSlowness, maxSlowness = 5, 8
 	// pollInterval is the time between two checks of a condition that the soak waits for.
 	pollInterval = 100 * time.Millisecond
 )
@@ -43,15 +52,24 @@
 	reconfigure, evacuate,
 }
 
+// stopFaults are the faults of a soak with Config.Stops.
+var stopFaults = slices.Concat(faults, []fault{
+	stopInTurn, stopInTurn, stopInTurn, reloadVM, reconfigure, slowService, slowService, loseAnswers, loseAnswers,
+})
+
 // injectFaults injects faults for the duration of the soak and waits until all are over.
 func (h *harness) injectFaults() {
 	var wg sync.WaitGroup
+	list := faults
+	if h.cfg.Stops {
+		list = stopFaults
+	}
 	end := time.Now().Add(h.cfg.FaultDuration)
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(h.rng.ExpFloat64() * float64(meanFaultInterval)))
 		rng := rand.New(rand.NewPCG(h.rng.Uint64(), 0))
 		lasts := minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
-		name, act := faults[rng.IntN(len(faults))](h, rng, lasts)
+		name, act := list[rng.IntN(len(list))](h, rng, lasts)
 		if act == nil {
 			continue
 		}
@@ -194,14 +212,19 @@
 // reserveVM reserves a random VM's process for a fault. It returns nil if that process is in use by
 // another fault.
 func (h *harness) reserveVM(rng *rand.Rand) *vm {
-	v := randomElement(rng, h.vms)
+	if v := randomElement(rng, h.vms); v.reserve() {
+		return v
+	}
+	return nil
+}
+
+// reserve reserves the VM's process for a fault. It returns false if another fault uses the process.
+func (v *vm) reserve() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.busy {
-		return nil
-	}
+	free := !v.busy
 	v.busy = true
-	return v
+	return free
 }
 
 func (v *vm) release() {
@@ -210,26 +233,137 @@
 	v.busy = false
 }
 
+// hangUp makes the VM's process reload its settings.
+func (v *vm) hangUp() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.up {
+		_ = v.Signal(syscall.SIGHUP)
+	}
+}
+
 // restartVM starts the VM's process again and releases the VM.
 func (h *harness) restartVM(v *vm) {
+	v.mu.Lock()
+	v.up = false
+	v.mu.Unlock()
 	if err := v.Start(h.cfg.Bin, h.dir, h.logs.newWriter()); err != nil {
 		h.history.addViolation("soak: %s failed to start: %v", v.id, err)
 	}
 	v.release()
 }
 
+// stopSignals are the signals that a VM gets besides the SIGTERM that stops it.
+type stopSignals struct {
+	// before and after are SIGHUPs right before and right after SIGTERM.
+	before, after bool
+	// second is sent after delay, if it is not 0.
+	second syscall.Signal
+	delay  time.Duration
+}
+
+// drawSignals draws the signals of a stop. Without Config.Stops there are none.
+func (h *harness) drawSignals(rng *rand.Rand) stopSignals {
+	if !h.cfg.Stops {
+		return stopSignals{}
+	}
+	second := randomElement(rng, []syscall.Signal{0, 0, syscall.SIGTERM, syscall.SIGHUP})
+	return stopSignals{before: rng.IntN(3) == 0, after: rng.IntN(3) == 0, second: second, delay: time.Duration(rng.Int64N(int64(maxSecondSignal)))}
+}
+
+// stop stops a reserved VM gracefully, starts it again and releases it.
+func (h *harness) stop(v *vm, signals stopSignals) {
+	if signals.before {
+		v.hangUp()
+	}
+	h.history.recordStop(v.id)
+	_ = v.Signal(syscall.SIGTERM)
+	if signals.after {
+		v.hangUp()
+	}
+	if signals.second != 0 && !v.Wait(signals.delay) {
+		_ = v.Signal(signals.second)
+	}
+	if !v.Wait(h.timeout(shutdownTimeout)) {
+		h.history.addViolation("stop: %s is still running %v after SIGTERM", v.id, h.timeout(shutdownTimeout))
+		v.Kill()
+	}
+	h.restartVM(v)
+}
+
 func stopVM(h *harness, rng *rand.Rand, _ time.Duration) (string, func()) {
 	v := h.reserveVM(rng)
 	if v == nil {
 		return "", nil
 	}
-	return v.id + " is stopped gracefully", func() {
-		_ = v.Signal(syscall.SIGTERM)
-		if !v.Wait(h.timeout(shutdownTimeout)) {
-			h.history.addViolation("stop: %s is still running %v after SIGTERM", v.id, h.timeout(shutdownTimeout))
-			v.Kill()
+	signals := h.drawSignals(rng)
+	return fmt.Sprintf("%s is stopped gracefully, signals %+v", v.id, signals), func() { h.stop(v, signals) }
+}
+
+// stopInTurn stops two or more VMs one after another, with less than a grace period in between. Other
+// VMs reload their settings and the configuration changes meanwhile.
+func stopInTurn(h *harness, rng *rand.Rand, _ time.Duration) (string, func()) {
+	if len(h.vms) < 2 {
+		return "", nil
+	}
+	order := rng.Perm(len(h.vms))[:2+rng.IntN(len(h.vms)-1)]
+	text := "VMs are stopped in turn:"
+	for _, i := range order {
+		text += " " + h.vms[i].id
+	}
+	return text, func() {
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		for _, i := range order {
+			signals, other := h.drawSignals(rng), randomElement(rng, h.vms)
+			gap := time.Duration(rng.Int64N(2 * int64(meanStopSpan) / int64(len(h.vms))))
+			if v := h.vms[i]; v.reserve() {
+				wg.Go(func() { h.stop(v, signals) })
+			}
+			time.Sleep(gap / 2)
+			other.hangUp()
+			if rng.IntN(2) == 0 {
+				h.writeConfig(rng)
+			}
+			time.Sleep(gap / 2)
+		}
+	}
+}
+
+// slowService makes all servers of a service slow.
+func slowService(h *harness, rng *rand.Rand, lasts time.Duration) (string, func()) {
+	t := serverFaults{slow: minSlowness + (maxSlowness-minSlowness)*rng.Float64()}
+	return h.serviceFault(rng, t, 1, serviceFaultFactor*lasts)
+}
+
+// loseAnswers makes some servers of a service lose their answers.
+func loseAnswers(h *harness, rng *rand.Rand, lasts time.Duration) (string, func()) {
+	return h.serviceFault(rng, serverFaults{lose: true}, 0.3+0.7*rng.Float64(), serviceFaultFactor*lasts)
+}
+
+// serviceFault prepares a fault of the given share of the servers of one service, which is that of long
+// requests in half of the cases.
+func (h *harness) serviceFault(rng *rand.Rand, t serverFaults, share float64, lasts time.Duration) (string, func()) {
+	service := longService
+	if rng.IntN(2) == 0 {
+		service = h.pickServer().service
+	}
+	var hit []*server
+	h.mu.Lock()
+	for _, s := range h.servers {
+		if s.service == service && rng.Float64() < share {
+			hit = append(hit, s)
+		}
+	}
+	h.mu.Unlock()
+	return fmt.Sprintf("%d servers of %s: %+v, for %v in all", len(hit), service, t, lasts), func() {
+		for _, s := range hit {
+			s.setFaults(t)
+		}
+		time.Sleep(lasts)
+		for _, s := range hit {
+			s.setFaults(serverFaults{})
 		}
-		h.restartVM(v)
 	}
 }
 
@@ -268,7 +402,7 @@
 		return "", nil
 	}
 	return v.id + " reloads its settings", func() {
-		_ = v.Signal(syscall.SIGHUP)
+		v.hangUp()
 		v.release()
 	}
 }
@@ -278,7 +412,7 @@
 	n := 1 + rng.IntN(4)
 	return fmt.Sprintf("%d new versions of the configuration", n), func() {
 		for range n {
-			h.writeConfig()
+			h.writeConfig(rng)
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
--- a/tests/soak/harness.go
+++ b/tests/soak/harness.go
@@ -30,8 +30,12 @@
 	lenientTimeout = time.Minute
 	// logTimeout is the time after the end of a request within which its log line must be written.
 	logTimeout = 2 * time.Second
-	// balancerInterval is the time between two readiness checks of the load balancer.
-	balancerInterval = 250 * time.Millisecond
+	// balancerInterval is the time between two readiness checks of the load balancer, and their timeout.
+	balancerInterval = time.Second
+	// balancerMisses is the number of failed checks after which a VM gets no new connections.
+	balancerMisses = 2
+	// longService is the service of long requests.
+	longService = "long"
 )
 
 // services lists the services that may execute each kind of request.
@@ -39,6 +43,7 @@
 	search: {"s-1", "s-2", "s-3", "s-4"},
 	read:   {"single"},
 	write:  {"single"},
+	long:   {longService},
 }
 
 var dataCentres = []string{"dc-1", "dc-2", "dc-3"}
@@ -51,7 +56,11 @@
 	// FaultDuration is how long faults are injected; the fleet then has some seconds to recover.
 	FaultDuration time.Duration
 	VMs           int
-	Callers       int
+	// Callers is the number of callers that send one request after the other.
+	Callers int
+	// Stops adds planned stops and signals in series, slow servers, lost answers, and the callers that
+	// these concern: patient ones, slow readers, and some that send two requests at once.
+	Stops bool
 	// Strict also checks the promised time limits. Without it the limits are lenient, so that load on
 	// the machine does not fail the soak.
 	Strict bool
@@ -79,6 +88,9 @@
 	ready bool
 	// busy is true while a fault uses the VM's process.
 	busy bool
+	// up is true once the process was ready since its last start. A process that gets SIGHUP earlier
+	// may end.
+	up bool
 }
 
 func (v *vm) callerAddr() string { return v.Callers() }
@@ -111,9 +123,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { w.pollReadiness(ctx) })
-	for i := range cfg.Callers {
-		c := &caller{n: i, harness: w, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(i)+2))}
+	for _, v := range w.vms {
+		wg.Go(func() { v.pollReadiness(ctx) })
+	}
+	for _, c := range w.newCallers() {
 		wg.Go(func() { c.run(ctx) })
 	}
 	w.injectFaults()
@@ -166,16 +179,18 @@
 	if h.dir, err = os.MkdirTemp("", "ebonylock-soak"); err != nil {
 		return err
 	}
-	for _, list := range services[:write] {
-		for _, service := range list {
-			for _, dc := range dataCentres {
-				if err := h.addServer(service, dc); err != nil {
-					return err
-				}
+	started := slices.Concat(services[search], services[read])
+	if h.cfg.Stops {
+		started = append(started, longService)
+	}
+	for _, service := range started {
+		for _, dc := range dataCentres {
+			if err := h.addServer(service, dc); err != nil {
+				return err
 			}
 		}
 	}
-	h.writeConfig()
+	h.writeConfig(h.rng)
 	for i := range h.cfg.VMs {
 		p, err := newProxy(h.store.Addr())
 		if err != nil {
@@ -194,9 +209,9 @@
 			if time.Now().After(end) {
 				return fmt.Errorf("%s was not ready in time", v.id)
 			}
-			time.Sleep(balancerInterval)
+			time.Sleep(pollInterval)
 		}
-		v.ready = true
+		v.ready, v.up = true, true
 	}
 	return nil
 }
@@ -221,13 +236,23 @@
 
 // writeConfig writes the next version of the configuration. The timeouts of its routes vary with the
 // version.
-func (h *harness) writeConfig() {
-	h.version += 1 + h.rng.IntN(5)
+func (h *harness) writeConfig(rng *rand.Rand) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.version += 1 + rng.IntN(5)
 	timeout := 2000 + 100*(h.version%5)
 	shards := `"` + strings.Join(services[search], `","`) + `"`
-	route := func(name, kind, to string) string {
-		return fmt.Sprintf(`{"name":%q,"hostname":"h.example","path_prefix":"/%s/","type":%q,"timeout_ms":%d,"target_latency_ms":100,"max_attempts":%d,%s}`,
-			name, name, kind, timeout, maxAttempts, to)
+	route := func(name, kind string, timeout, target int, to string) string {
+		return fmt.Sprintf(`{"name":%q,"hostname":"h.example","path_prefix":"/%s/","type":%q,"timeout_ms":%d,"target_latency_ms":%d,"max_attempts":%d,%s}`,
+			name, name, kind, timeout, target, maxAttempts, to)
+	}
+	routes := []string{
+		route("search", "idempotent", timeout, 100, fmt.Sprintf(`"gather":[%s],"top_k":%d,"min_shard_share":0.75`, shards, topRecords)),
+		route("read", "idempotent", timeout, 100, `"service":"single"`),
+		route("write", "non_idempotent", timeout, 100, `"service":"single"`),
+	}
+	if h.cfg.Stops {
+		routes = append(routes, route("long", "idempotent", int(patientTimeout.Milliseconds()), 800, fmt.Sprintf(`"service":%q`, longService)))
 	}
 	limits := `{"name":"single","max_connections":30}`
 	if h.cfg.Seed%2 == 1 {
@@ -236,24 +261,22 @@
 			limits += fmt.Sprintf(`,{"name":%q,"max_connections":%d}`, s, h.cfg.VMs)
 		}
 	}
-	h.store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[%s,%s,%s],"services":[%s],
-		"limits":{"max_header_bytes":4096,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, h.version,
-		route("search", "idempotent", fmt.Sprintf(`"gather":[%s],"top_k":%d,"min_shard_share":0.75`, shards, topRecords)),
-		route("read", "idempotent", `"service":"single"`),
-		route("write", "non_idempotent", `"service":"single"`), limits))
+	h.store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[%s],
+		"limits":{"max_header_bytes":4096,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
+		h.version, strings.Join(routes, ","), limits))
 }
 
-// pollReadiness does the health checks of a load balancer: it polls which VMs are ready until ctx is
-// done.
-func (h *harness) pollReadiness(ctx context.Context) {
-	for ctx.Err() == nil {
-		for _, v := range h.vms {
-			ready := v.Ready(balancerInterval)
-			v.mu.Lock()
-			v.ready = ready
-			v.mu.Unlock()
+// pollReadiness does the health checks of a load balancer until ctx is done.
+func (v *vm) pollReadiness(ctx context.Context) {
+	for misses := 0; ctx.Err() == nil; time.Sleep(balancerInterval) {
+		misses++
+		if v.Ready(balancerInterval) {
+			misses = 0
 		}
-		time.Sleep(balancerInterval)
+		v.mu.Lock()
+		v.ready = misses < balancerMisses && (v.ready || misses == 0)
+		v.up = v.up || misses == 0
+		v.mu.Unlock()
 	}
 }
 
--- a/tests/soak/history.go
+++ b/tests/soak/history.go
@@ -16,6 +16,14 @@
 	search kind = iota
 	read
 	write
+	// long requests are sent by patient callers; their answers are large.
+	long
+)
+
+const (
+	// lossSlack is the time after which a request that a VM has read counts as lost if its connection
+	// ends without an answer, although it was not forwarded.
+	lossSlack = 200 * time.Millisecond
 )
 
 // request is a request of a caller with its answer.
@@ -36,8 +44,14 @@
 	// missing is the number of missing parts that the answer reports.
 	missing int
 	answer  string
-	// unanswered is true once the connection has ended without an answer.
+	// ended is the time of the answer or of the end of the connection.
+	ended time.Time
+	// unanswered is true once the connection has ended without a complete answer.
 	unanswered bool
+	// left is true if the caller stopped waiting, as the soak was over.
+	left bool
+	// readWith is true if the request was sent together with one before it that got an answer.
+	readWith bool
 }
 
 // arrival is a request that a server received.
@@ -60,7 +74,9 @@
 	byService map[string][]arrival
 	// processFaults lists, by VM, the intervals in which its process was killed or paused.
 	processFaults map[string][]interval
-	violations    []string
+	// stops lists, by VM, the times at which it got SIGTERM.
+	stops      map[string][]time.Time
+	violations []string
 }
 
 // interval is the time that a fault lasts; end is zero until it is over.
@@ -82,6 +98,27 @@
 	}
 }
 
+// recordStop records that a VM gets SIGTERM.
+func (b *history) recordStop(vm string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stops[vm] = append(b.stops[vm], time.Now())
+}
+
+// describe returns when a request was sent and ended, after the last SIGTERM of its VM, and its arrivals
+// with the time after it was sent. The caller must hold b.mu.
+func (b *history) describe(q *request) string {
+	text := fmt.Sprintf("%s %s at %s lasted %.2f s", q.method, q.target, q.vm, q.ended.Sub(q.sent).Seconds())
+	if list := b.stops[q.vm]; len(list) > 0 {
+		last := list[len(list)-1]
+		text += fmt.Sprintf(", sent %.2f s and ended %.2f s after SIGTERM", q.sent.Sub(last).Seconds(), q.ended.Sub(last).Seconds())
+	}
+	for _, a := range b.arrivals[q.id] {
+		text += fmt.Sprintf(", %s after %.2f s", a.server.id, a.at.Sub(q.sent).Seconds())
+	}
+	return text
+}
+
 // runningSince reports whether a VM's process has run without a fault since the given time. The caller
 // must hold b.mu.
 func (b *history) runningSince(vm string, since time.Time) bool {
@@ -113,7 +150,7 @@
 }
 
 func newHistory() *history {
-	return &history{requests: make(map[string]*request), arrivals: make(map[string][]arrival), byService: make(map[string][]arrival), processFaults: make(map[string][]interval)}
+	return &history{requests: make(map[string]*request), arrivals: make(map[string][]arrival), byService: make(map[string][]arrival), processFaults: make(map[string][]interval), stops: make(map[string][]time.Time)}
 }
 
 // addViolation records a violated guarantee.
@@ -192,7 +229,9 @@
 	}
 	switch {
 	case q.unanswered && len(b.arrivals[q.id]) > 0 && b.runningSince(q.vm, q.sent):
-		b.addViolationLocked("lost: request %s was forwarded by %s, whose process was running, and got no answer", q.id, q.vm)
+		b.addViolationLocked("lost: request %s was forwarded by %s, whose process was running, and got no answer: %s", q.id, q.vm, b.describe(q))
+	case q.unanswered && q.readWith && q.ended.Sub(q.sent) > lossSlack && b.runningSince(q.vm, q.sent):
+		b.addViolationLocked("lost: request %s was read with the one before it, which was answered, and dropped: %s", q.id, b.describe(q))
 	case refused(q.status) && len(ran) > 0:
 		b.addViolationLocked("refused after execution: request %s, status %d, executed at %s", q.id, q.status, ran[0].server.id)
 	case q.status == http.StatusOK && q.kind == search:
@@ -200,6 +239,7 @@
 	case q.status == http.StatusOK:
 		b.checkSingle(q, ran)
 	}
+	q.answer = ""
 }
 
 // checkSingle checks that a successful answer is the complete answer of the server whose stamp it
--- a/tests/soak/logs.go
+++ b/tests/soak/logs.go
@@ -105,7 +105,7 @@
 			continue
 		}
 		if o := l.entries[q.id]; o.VM != q.vm || o.cause() == "" {
-			out = append(out, fmt.Sprintf("unexplained: request %s to %s ended with %d, the log has %+v", q.id, q.vm, q.status, o))
+			out = append(out, fmt.Sprintf("unexplained: request %s to %s ended with %d, the log has %+v: %s", q.id, q.vm, q.status, o, b.describe(q)))
 		}
 	}
 	return out
--- a/tests/soak/server.go
+++ b/tests/soak/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -19,11 +20,18 @@
 	shed, fail, reset, truncate, unsolicited float64
 	// delay is added to the time of each execution.
 	delay time.Duration
+	// lose sends nothing after the execution, while the connection stays open.
+	lose bool
+	// slow multiplies the time of each execution; 0 leaves it as it is.
+	slow float64
 }
 
 const (
 	// meanWorkTime is the mean time of an execution.
 	meanWorkTime = 3 * time.Millisecond
+	// meanLongTime and maxLongTime are the mean and the maximum time of an execution of a long request.
+	meanLongTime = 220 * time.Millisecond
+	maxLongTime  = 1300 * time.Millisecond
 	// recordsPerPart is the number of records in a part, recordSize the length of a record in bytes.
 	recordsPerPart = 3
 	recordSize     = 16
@@ -72,8 +80,13 @@
 	for i := range rolls {
 		rolls[i] = s.rng.Float64()
 	}
-	after := time.Duration(s.rng.ExpFloat64()*float64(meanWorkTime)) + t.delay
+	work := s.rng.ExpFloat64()
 	s.mu.Unlock()
+	after := time.Duration(work * float64(meanWorkTime))
+	if s.service == longService {
+		after = min(time.Duration(work*float64(meanLongTime)), maxLongTime)
+	}
+	after = time.Duration(float64(after)*max(t.slow, 1)) + t.delay
 	a := arrival{server: s, at: time.Now(), id: g.Header.Get("Request-Id"), method: g.Method, target: g.Target, body: string(g.Body)}
 	if rolls[0] < t.shed {
 		s.history.recordArrival(a)
@@ -82,6 +95,8 @@
 	a.executed = true
 	s.history.recordArrival(a)
 	switch {
+	case t.lose:
+		return site.Reply{Delay: after}
 	case rolls[1] < t.fail:
 		return site.Reply{Raw: site.Status(g, http.StatusInternalServerError, "failed", "Server-Stamp: "+s.stamp(a.id)), Delay: after}
 	case rolls[2] < t.reset:
@@ -108,5 +123,25 @@
 		sum := sha256.Sum256(fmt.Appendf(nil, "%s %s %d", id, s.id, i))
 		out.WriteString(fmt.Sprintf("%x", sum[:recordSize/2]))
 	}
+	if s.service == longService {
+		return strings.Repeat(out.String(), longAnswerSize(id)/out.Len())
+	}
 	return out.String()
 }
+
+// largePrefix begins the IDs of long requests whose answers are often large.
+const largePrefix = "large-"
+
+// longAnswerSize returns the approximate size in bytes of the answer to a long request. The largest
+// answers exceed what the buffers of a connection hold.
+func longAnswerSize(id string) int {
+	sum := sha256.Sum256([]byte(id))
+	n, large := int(binary.BigEndian.Uint32(sum[1:])), strings.HasPrefix(id, largePrefix)
+	switch {
+	case large && sum[0] < 64:
+		return 4 << 20
+	case large && sum[0] < 128 || sum[0] < 16:
+		return 200<<10 + n%(400<<10)
+	}
+	return 3<<10 + n%(15<<10)
+}
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -21,9 +21,14 @@
 var regressions = []struct {
 	seed   uint64
 	length time.Duration
-	cause  string
+	// stops is Config.Stops; seeds that were found without it draw other faults with it.
+	stops bool
+	cause string
 }{
-	{1111, 8 * time.Second, "requests refused while all VMs were leaving had no log line"},
+	{1111, 8 * time.Second, false, "requests refused while all VMs were leaving had no log line"},
+	{2, 8 * time.Second, true, "requests whose replicas had lost the answers were held until a stopping VM ended"},
+	{3, 8 * time.Second, true, "a stopping VM closed connections before their answers or further requests were complete"},
+	{4, 8 * time.Second, true, "requests to slow replicas that a VM took late in its stop were cut by its end"},
 }
 
 // TestSoak runs a short soak and the regressions; `make soak` runs more and longer ones.
@@ -34,8 +39,8 @@
 	if err := build.Run(); err != nil {
 		t.Fatal(err)
 	}
-	runSeed := func(seed uint64, length time.Duration) {
-		r, err := Run(Config{Bin: bin, Seed: seed, FaultDuration: length, VMs: *vms, Callers: 3 * *vms, Strict: *strict, Log: t.Output()})
+	runSeed := func(seed uint64, length time.Duration, stops bool) {
+		r, err := Run(Config{Bin: bin, Seed: seed, FaultDuration: length, VMs: *vms, Callers: 3 * *vms, Stops: stops, Strict: *strict, Log: t.Output()})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -45,10 +50,10 @@
 		}
 	}
 	for i := range *seeds {
-		runSeed(*first+i, *length)
+		runSeed(*first+i, *length, true)
 	}
 	for _, r := range regressions {
 		t.Log(r.cause)
-		runSeed(r.seed, r.length)
+		runSeed(r.seed, r.length, r.stops)
 	}
 }
