A stopping VM writes the log lines of its last answers

Cause: the line is written after the answer was handed to the event loop, so that it delays no caller; the process ended once the answer was sent. Change: a request counts as in flight for the stop until its line is written.

--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -394,7 +394,7 @@
 
 // InFlight implements traffic.
 func (t vmTraffic) InFlight() int {
-	return t.callers.InFlight() + t.forward.ActiveCalls()
+	return max(t.callers.InFlight(), t.callers.Unrecorded()) + t.forward.ActiveCalls()
 }
 
 // LastTraffic implements traffic.
--- a/services/launcher/stopper.go
+++ b/services/launcher/stopper.go
@@ -27,7 +27,8 @@
 	Drain(end time.Time)
 	// Refuse makes every new request get a refusal.
 	Refuse()
-	// InFlight returns the number of requests whose answers are not completely sent yet.
+	// InFlight returns the number of requests whose answers are not completely sent, or whose log lines
+	// are not written yet.
 	InFlight() int
 	// LastTraffic returns the time of the last new connection or request.
 	LastTraffic() time.Time
