Soak: replicas that leave or ask for a pause

Checked for requests to one service, which their VM sends itself: none that was sent over 3 s after an answer that said so reaches a server that leaves, and at most two reach one between half a second after it asked for a pause and the pause's end; restarts, kills and pauses of the VM and faults of the server's link excuse it.

--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -64,6 +64,9 @@
 	if h.cfg.Stops {
 		list = stopFaults
 	}
+	if h.cfg.Notices {
+		list = slices.Concat(list, []fault{leaveServer, leaveServer, pauseServer, pauseServer, pauseServer})
+	}
 	end := time.Now().Add(h.cfg.FaultDuration)
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(h.rng.ExpFloat64() * float64(meanFaultInterval)))
@@ -170,6 +173,33 @@
 	}
 }
 
+// leaveServer replaces a server that says in its answers that it leaves, before the store says so.
+func leaveServer(h *harness, _ *rand.Rand, _ time.Duration) (string, func()) {
+	s := h.pickServer()
+	h.removeServer(s)
+	return fmt.Sprintf("%s of %s says that it leaves", s.id, s.service), func() {
+		h.replaceServer(s)
+		s.setFaults(serverFaults{leaving: true})
+		time.Sleep(3 * drainTime)
+		h.store.Put("servers/"+s.id, s.entry("draining"))
+		time.Sleep(drainTime)
+		h.store.Remove("servers/" + s.id)
+		s.proxy.close()
+		s.replica.Close()
+	}
+}
+
+// pauseServer makes a server refuse requests and ask for pauses.
+func pauseServer(h *harness, rng *rand.Rand, lasts time.Duration) (string, func()) {
+	s := h.pickServer()
+	t := serverFaults{pause: minFaultDuration + time.Duration(rng.Int64N(int64(2*maxFaultDuration)))}
+	return fmt.Sprintf("%s of %s asks for pauses of %v", s.id, s.service, t.pause), func() {
+		s.setFaults(t)
+		time.Sleep(lasts)
+		s.setFaults(serverFaults{})
+	}
+}
+
 // reuseAddress crashes a server whose address is then taken over by a server of another service. With
 // probability 0.5 the entry of the crashed server is still in the store at that time.
 func reuseAddress(h *harness, rng *rand.Rand, _ time.Duration) (string, func()) {
--- a/tests/soak/history.go
+++ b/tests/soak/history.go
@@ -63,8 +63,33 @@
 	body           string
 	// executed is false if the server refused the request.
 	executed bool
+	// leaving and pause are what the server says in its answer about further requests.
+	leaving bool
+	pause   time.Duration
 }
 
+// notice is what a server has said to a VM about further requests.
+type notice struct {
+	// leftAt is when a caller had an answer that says that the server leaves; zero if none had.
+	leftAt time.Time
+	pauses []pause
+}
+
+// pause is a time in which a VM must send hardly any requests to a server.
+type pause struct {
+	interval
+	arrivals int
+}
+
+const (
+	// pauseDelay is the time after the start of a pause within which any number of requests may arrive.
+	pauseDelay = 500 * time.Millisecond
+	// maxPauseArrivals is the number of requests that may arrive in the rest of a pause.
+	maxPauseArrivals = 2
+	// linkCalmTime is the time without a fault of a link after which an answer is sure to arrive at once.
+	linkCalmTime = 3 * time.Second
+)
+
 // history records what callers and servers observe. It is checked while the soak runs.
 type history struct {
 	mu       sync.Mutex
@@ -75,7 +100,9 @@
 	// processFaults lists, by VM, the intervals in which its process was killed or paused.
 	processFaults map[string][]interval
 	// stops lists, by VM, the times at which it got SIGTERM.
-	stops      map[string][]time.Time
+	stops map[string][]time.Time
+	// notices holds what servers have said, by the IDs of the server and the VM.
+	notices    map[[2]string]*notice
 	violations []string
 }
 
@@ -150,7 +177,7 @@
 }
 
 func newHistory() *history {
-	return &history{requests: make(map[string]*request), arrivals: make(map[string][]arrival), byService: make(map[string][]arrival), processFaults: make(map[string][]interval), stops: make(map[string][]time.Time)}
+	return &history{requests: make(map[string]*request), arrivals: make(map[string][]arrival), byService: make(map[string][]arrival), processFaults: make(map[string][]interval), stops: make(map[string][]time.Time), notices: make(map[[2]string]*notice)}
 }
 
 // addViolation records a violated guarantee.
@@ -188,10 +215,55 @@
 	if a.executed {
 		b.checkRun(q, a)
 	}
+	if q.kind != search { // parts of a search may be sent by another VM
+		b.checkNotices(q, a)
+	}
 	b.arrivals[a.id] = append(b.arrivals[a.id], a)
 	b.byService[a.server.service] = append(b.byService[a.server.service], a)
 }
 
+// checkNotices checks that an arrival respects what its server has said to the VM. A restart, kill or pause
+// of the VM, or a fault of the server's link, excuses it. The caller must hold b.mu.
+func (b *history) checkNotices(q *request, a arrival) {
+	key := [2]string{a.server.id, q.vm}
+	n := b.notices[key]
+	if n == nil {
+		n = &notice{}
+		b.notices[key] = n
+	}
+	if !n.leftAt.IsZero() && q.sent.After(n.leftAt.Add(drainTime)) && b.undisturbedSince(q.vm, n.leftAt) {
+		b.addViolationLocked("leaving server: %s got request %s, sent %v after an answer from it that said so", a.server.id, b.describe(q), q.sent.Sub(n.leftAt))
+	}
+	for i := range n.pauses {
+		p := &n.pauses[i]
+		if !a.at.After(p.begin.Add(pauseDelay)) || !a.at.Before(p.end) {
+			continue
+		}
+		if p.arrivals++; p.arrivals > maxPauseArrivals && b.undisturbedSince(q.vm, p.begin) && a.server.proxy.calmSince(p.begin.Add(-linkCalmTime)) {
+			b.addViolationLocked("paused server: %s got request %s, %v after it asked for a pause of %v", a.server.id, b.describe(q), a.at.Sub(p.begin), p.end.Sub(p.begin))
+		}
+	}
+	if a.pause > 0 {
+		n.pauses = append(n.pauses, pause{interval: interval{a.at, a.at.Add(a.pause)}})
+	}
+}
+
+// undisturbedSince reports whether a VM was neither stopped, killed nor paused since the given time. The
+// caller must hold b.mu.
+func (b *history) undisturbedSince(vm string, since time.Time) bool {
+	return b.runningSince(vm, since) && !slices.ContainsFunc(b.stops[vm], func(at time.Time) bool { return at.After(since) })
+}
+
+// recordLeaving records that a caller has an answer of a server that says that it leaves. The caller must
+// hold b.mu.
+func (b *history) recordLeaving(q *request, ran []arrival) {
+	for _, a := range ran {
+		if n := b.notices[[2]string{a.server.id, q.vm}]; a.leaving && n != nil && n.leftAt.IsZero() && slices.Contains(q.stamps, a.server.stamp(q.id)) {
+			n.leftAt = q.ended
+		}
+	}
+}
+
 // checkRun checks the execution of a request against its answer and its earlier executions: none after
 // a refusal, one for a write, at most maxAttempts at each service. The caller must hold b.mu.
 func (b *history) checkRun(q *request, a arrival) {
@@ -238,6 +310,7 @@
 		b.checkGather(q, ran)
 	case q.status == http.StatusOK:
 		b.checkSingle(q, ran)
+		b.recordLeaving(q, ran)
 	}
 	q.answer = ""
 }
--- a/tests/soak/proxy.go
+++ b/tests/soak/proxy.go
@@ -40,6 +40,8 @@
 	mode   proxyMode
 	conns  map[*net.TCPConn]struct{}
 	closed bool
+	// disturbed is the time of the last fault or end of a fault.
+	disturbed time.Time
 }
 
 // newProxy starts a proxy on a free port of 127.0.0.1.
@@ -60,13 +62,20 @@
 // set changes the mode; modeRefuse also resets the open connections.
 func (p *proxy) set(m proxyMode) {
 	p.mu.Lock()
-	p.mode = m
+	p.mode, p.disturbed = m, time.Now()
 	p.mu.Unlock()
 	if m == modeRefuse {
 		p.reset()
 	}
 }
 
+// calmSince reports whether the proxy has had no fault since the given time.
+func (p *proxy) calmSince(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode == modePass && p.disturbed.Before(since)
+}
+
 // retarget resets all connections and forwards new ones to another target.
 func (p *proxy) retarget(target netip.AddrPort) {
 	p.mu.Lock()
--- a/tests/soak/server.go
+++ b/tests/soak/server.go
@@ -22,6 +22,10 @@
 	delay time.Duration
 	// lose sends nothing after the execution, while the connection stays open.
 	lose bool
+	// leaving is said in all answers.
+	leaving bool
+	// pause is asked for in a refusal of each request; 0 refuses none.
+	pause time.Duration
 	// slow multiplies the time of each execution; 0 leaves it as it is.
 	slow float64
 }
@@ -87,7 +91,16 @@
 		after = min(time.Duration(work*float64(meanLongTime)), maxLongTime)
 	}
 	after = time.Duration(float64(after)*max(t.slow, 1)) + t.delay
-	a := arrival{server: s, at: time.Now(), id: g.Header.Get("Request-Id"), method: g.Method, target: g.Target, body: string(g.Body)}
+	a := arrival{server: s, at: time.Now(), id: g.Header.Get("Request-Id"), method: g.Method, target: g.Target, body: string(g.Body), leaving: t.leaving, pause: t.pause}
+	var notice []string
+	if t.leaving {
+		notice = append(notice, "Server-Leaving: 1")
+	}
+	if t.pause > 0 {
+		s.history.recordArrival(a)
+		notice = append(notice, "Not-Executed: 1", fmt.Sprintf("Retry-After: %.3f", t.pause.Seconds()))
+		return site.Reply{Raw: site.Status(g, http.StatusServiceUnavailable, "", notice...)}
+	}
 	if rolls[0] < t.shed {
 		s.history.recordArrival(a)
 		return site.Reply{Raw: site.Status(g, http.StatusServiceUnavailable, "", "Not-Executed: 1")}
@@ -104,7 +117,7 @@
 	case rolls[3] < t.truncate:
 		return site.Reply{Raw: []byte("HTTP/1.1 200 OK\r\nServer-Stamp: " + s.stamp(a.id) + "\r\nContent-Length: 100\r\n\r\nshort"), Delay: after, Close: true}
 	}
-	raw := site.Status(g, http.StatusOK, s.answer(a.id), "Server-Stamp: "+s.stamp(a.id))
+	raw := site.Status(g, http.StatusOK, s.answer(a.id), append(notice, "Server-Stamp: "+s.stamp(a.id))...)
 	r := site.Reply{Raw: raw, Delay: after}
 	if rolls[4] < t.unsolicited {
 		r.Unsolicited = raw
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -39,8 +39,8 @@
 	if err := build.Run(); err != nil {
 		t.Fatal(err)
 	}
-	runSeed := func(seed uint64, length time.Duration, stops bool) {
-		r, err := Run(Config{Bin: bin, Seed: seed, FaultDuration: length, VMs: *vms, Callers: 3 * *vms, Stops: stops, Strict: *strict, Log: t.Output()})
+	runSeed := func(seed uint64, length time.Duration, stops, notices bool) {
+		r, err := Run(Config{Bin: bin, Seed: seed, FaultDuration: length, VMs: *vms, Callers: 3 * *vms, Stops: stops, Notices: notices, Strict: *strict, Log: t.Output()})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -50,10 +50,10 @@
 		}
 	}
 	for i := range *seeds {
-		runSeed(*first+i, *length, true)
+		runSeed(*first+i, *length, true, true)
 	}
 	for _, r := range regressions {
 		t.Log(r.cause)
-		runSeed(r.seed, r.length, r.stops)
+		runSeed(r.seed, r.length, r.stops, false)
 	}
 }
