Finish other VMs' calls before a VM of "serve" leaves

What callers saw: at a planned stop of the VM that made a ticket, a request with this ticket, sent through another VM and running at a backend server, ended as "unknown" although it ran on. No VM could tell its outcome any more.

Cause: a stopping VM gives its backend servers up first. From then on it runs such requests at servers of other VMs, and the stop waited only for its own callers and its own servers. It left 3 s after SIGTERM and closed the link.

Change: the link counts the calls of other VMs, and the stop waits until there are none. A call counts until the other VM has closed its side of the stream, which it does when it has read the answer.

Why it works: callers of a call are bounded by its request's deadline, and the wait by the shutdown's limit.

--- a/services/linker/linker.go
+++ b/services/linker/linker.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -44,6 +46,8 @@
 	maxStreams = 4096
 	// cancelBuffer is the number of cancellations that are buffered for one call.
 	cancelBuffer = 16
+	// receiptTimeout limits the wait for the other VM to read an answer.
+	receiptTimeout = time.Second
 	// executeGrace is the time past the request's deadline for which the answer of a forwarded
 	// request is still awaited.
 	executeGrace = 50 * time.Millisecond
@@ -65,6 +69,9 @@
 	listener *quic.Listener
 	handler  Handler
 
+	// calls counts the calls of other VMs whose answers these may not have received yet.
+	calls atomic.Int64
+
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
 }
@@ -130,8 +137,16 @@
 	}
 }
 
+// Calls returns the number of calls of other VMs whose answers these may not have received yet. Close would cut them.
+func (l *Linker) Calls() int {
+	return int(l.calls.Load())
+}
+
 // serveStream serves the one call of a stream. A malformed frame closes the whole connection.
 func (l *Linker) serveStream(conn *quic.Conn, stream *quic.Stream) {
+	l.calls.Add(1)
+	defer l.calls.Add(-1)
+	defer awaitReceipt(stream)
 	defer func() { _ = stream.Close() }()
 	kind, payload, err := readFrame(stream)
 	if err != nil {
@@ -156,6 +171,12 @@
 	}
 }
 
+// awaitReceipt waits until the other VM closes its side of the stream, which it does once it has read the answer.
+func awaitReceipt(stream *quic.Stream) {
+	_ = stream.SetReadDeadline(time.Now().Add(receiptTimeout))
+	_, _ = io.Copy(io.Discard, stream)
+}
+
 // serveBatch streams the events of a batch to the caller, followed by frameEnd. A failed Dispatch
 // is not reported: the stream closes without frameEnd, by which the caller detects the failure.
 func (l *Linker) serveBatch(stream *quic.Stream, payload []byte) error {
--- a/services/linker/linker_test.go
+++ b/services/linker/linker_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -144,3 +145,36 @@
 	is.True(errors.Is(got.Err, dispatcher.ErrLinkLost))
 	is.Equal(<-h.cancelled, -1) // the peer stops the work of a caller that has disconnected
 }
+
+// largeHandler answers each Execute with a body that is sent in one packet.
+type largeHandler struct {
+	echoHandler
+	started, release chan struct{}
+}
+
+func (h largeHandler) Execute(context.Context, Execute) Executed {
+	close(h.started)
+	<-h.release
+	return Executed{Status: 200, Body: bytes.Repeat([]byte("x"), 100)}
+}
+
+// TestCloseAfterTheLastCall guards against a stopping VM that cuts the answer to a request which runs for another VM: the
+// answer counts as sent only once the other VM has it.
+func TestCloseAfterTheLastCall(t *testing.T) {
+	is := is.New(t)
+	h := largeHandler{started: make(chan struct{}), release: make(chan struct{})}
+	a, b := listen(t, echoHandler{}, 1), listen(t, h, 1)
+	done := make(chan error, 1)
+	go func() {
+		_, err := a.Remote(b.Addr()).Execute(testContext(t), Execute{Ticket: "t", Deadline: time.Now().Add(5 * time.Second)})
+		done <- err
+	}()
+	<-h.started
+	is.Equal(b.Calls(), 1)
+	close(h.release)
+	for b.Calls() > 0 {
+		runtime.Gosched()
+	}
+	b.Close()
+	is.NoErr(<-done)
+}
--- a/services/runner/runner.go
+++ b/services/runner/runner.go
@@ -237,9 +237,9 @@
 	return oops.Wrap(err)
 }
 
-// waitForRuns waits until no run at a backend server is in progress or ctx ends.
+// waitForRuns waits until no run at a backend server and no call of another VM is in progress, or until ctx ends.
 func (d *Daemon) waitForRuns(ctx context.Context) {
-	for d.dispatch.Running() > 0 && ctx.Err() == nil {
+	for (d.dispatch.Running() > 0 || d.link.Calls() > 0) && ctx.Err() == nil {
 		time.Sleep(10 * time.Millisecond)
 	}
 }
--- a/tests/fleet/fleet.go
+++ b/tests/fleet/fleet.go
@@ -49,6 +49,8 @@
 	BasePort int
 	// Work is the mean time of a run at a backend server. With 0, that of the deployment is used.
 	Work time.Duration
+	// RunLimit is the VMs' limit on a run. With 0, their default is used.
+	RunLimit time.Duration
 	// Log receives the output of the processes.
 	Log io.Writer
 }
@@ -208,6 +210,10 @@
 
 func (f *Fleet) settings(vm *VM) []byte {
 	sum := sha256.Sum256([]byte(Token))
+	limits := "{}"
+	if f.cfg.RunLimit > 0 {
+		limits = fmt.Sprintf(`{"run-limit": %q}`, f.cfg.RunLimit)
+	}
 	return fmt.Appendf(nil, `{
 	// written by the test fleet
 	"vm": {"id": %q, "data-centre": %q},
@@ -215,8 +221,9 @@
 	"operators": {"listen": %q, "tokens": [{"name": "tester", "sha256": %q}]},
 	"fleet": {"gossip": %q, "link": %q, "keys": [%q]},
 	"platform": {"store": %q, "vm-list": %q},
+	"limits": %s,
 	"log": {"level": "info"},
-}`, vm.ID, vm.DataCentre, vm.Callers, vm.Operators, hex.EncodeToString(sum[:]), vm.Gossip, vm.Link, fleetKey, f.Store, f.List)
+}`, vm.ID, vm.DataCentre, vm.Callers, vm.Operators, hex.EncodeToString(sum[:]), vm.Gossip, vm.Link, fleetKey, f.Store, f.List, limits)
 }
 
 // MarkLeaving marks a backend server as leaving in the platform's list.
