Wait at a stop as long as the settings let a request last

What callers could see: with max-deadline above 15 s (up to a minute is allowed), a request that was accepted before or during a planned stop of "serve" and lasts longer than 18 s after SIGTERM would be cut.

Cause: the wait for running requests was a constant.

Evidence: by the code only.

Change: the wait is the time to read a request, plus max-deadline, plus a second.

--- a/routers/answerer/answerer.go
+++ b/routers/answerer/answerer.go
@@ -53,8 +53,8 @@
 	MaxInFlight int
 }
 
-// readTimeout limits the time to read one request, including its body.
-const readTimeout = 10 * time.Second
+// ReadTimeout limits the time to read one request, including its body.
+const ReadTimeout = 10 * time.Second
 
 // retryAfterMs is the delay before a retry, in milliseconds, that each refusal with status 503 asks for.
 const retryAfterMs = 100
@@ -97,7 +97,7 @@
 		Handler:               s.handle,
 		ErrorHandler:          s.badRequest,
 		MaxRequestBodySize:    cfg.MaxBody,
-		ReadTimeout:           readTimeout,
+		ReadTimeout:           ReadTimeout,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 	}
--- a/services/runner/runner.go
+++ b/services/runner/runner.go
@@ -36,8 +36,8 @@
 	// balancerDelay is the time for which the platform's balancer may still send requests after this VM has
 	// become not ready.
 	balancerDelay = 3 * time.Second
-	// shutdownTimeout limits the wait for running requests during a shutdown.
-	shutdownTimeout = 15 * time.Second
+	// answerMargin is the time that an answer may take after its request's deadline.
+	answerMargin = time.Second
 	// fenceAfter is the age of the last heartbeat above which nothing is sent to backend servers.
 	fenceAfter = 400 * time.Millisecond
 )
@@ -225,7 +225,7 @@
 		return nil
 	case <-time.After(balancerDelay):
 	}
-	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout(d.settings.Callers))
 	defer cancel()
 	err := d.callers.Shutdown(ctx)
 	d.waitForRuns(ctx)
@@ -237,6 +237,12 @@
 	return oops.Wrap(err)
 }
 
+// shutdownTimeout returns the limit on the wait for running requests during a shutdown: the longest time that a request
+// may still take of which the first byte has arrived.
+func shutdownTimeout(s loader.Callers) time.Duration {
+	return answerer.ReadTimeout + s.MaxDeadline + answerMargin
+}
+
 // waitForRuns waits until no run at a backend server and no call of another VM is in progress, or until ctx ends.
 func (d *Daemon) waitForRuns(ctx context.Context) {
 	for (d.dispatch.Running() > 0 || d.link.Calls() > 0) && ctx.Err() == nil {
