Pass connections of a closed pool to requests that wait

What callers saw: a request that waited for a connection to a replica, while the pool of that replica was closed as unused for 30 s, waited until its time was over.

Cause: a pool counts as unused by the time of its last request, whatever that request still waits for; and a closed pool closed each connection that was returned, with requests waiting.

Evidence: TestCloseKeepsWaiters on the code before: the waiter gets nothing.

Change: a closed pool passes a returned connection to the next request that waits, and closes it otherwise.

Measured: the test passes, 5 of 5 runs with -race.

--- a/modules/pooler/pooler.go
+++ b/modules/pooler/pooler.go
@@ -153,7 +153,7 @@
 func (p *Pool[C, W]) put(c C, isNew bool) {
 	p.mu.Lock()
 	switch {
-	case p.closed:
+	case p.closed && len(p.waiting) == 0:
 		p.open--
 		p.mu.Unlock()
 		_ = c.Close()
@@ -222,7 +222,7 @@
 	return p.open
 }
 
-// Close closes the idle connections. Those in use are closed when they are returned.
+// Close closes the idle connections. Those in use are closed when they are returned and nobody waits for one.
 func (p *Pool[C, W]) Close() {
 	p.mu.Lock()
 	idle := p.idle
--- a/modules/pooler/pooler_test.go
+++ b/modules/pooler/pooler_test.go
@@ -205,3 +205,19 @@
 		is.Equal(p.Open(), 0)
 	})
 }
+
+// TestCloseKeepsWaiters guards against a request that never ends because the pool is closed as unused while the request
+// waits for a connection in use.
+func TestCloseKeepsWaiters(t *testing.T) {
+	is := is.New(t)
+	p := fakePool{Dial: func(context.Context) (*fake, error) { return &fake{}, nil }}
+	c, err := get(&p, 1)
+	is.NoErr(err)
+	w := newWaiter()
+	p.Get(w, 1)
+	p.Close()
+	p.Put(c)
+	is.Equal(len(w.got), 1) // the waiter has the connection
+	p.Put(<-w.got)
+	is.True(c.closed)
+}
