--- a/tests/path/site_test.go
+++ b/tests/path/site_test.go
@@ -1,8 +1,11 @@
 package path
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,3 +89,40 @@
 		is.Equal(w.StatusCode, http.StatusOK)
 	}
 }
+
+// TestGatherersStop guards against queries that lose parts because a VM that gathers them for another VM stops. Each VM
+// stops in turn while callers ask the others for parts that take long and for parts that don't.
+func TestGatherersStop(t *testing.T) {
+	is := is.New(t)
+	f, err := fleet.StartSite(binDir, 3, 2, t.Output())
+	is.NoErr(err)
+	t.Cleanup(f.Kill)
+	dir := t.TempDir()
+	for i, stopping := range f.VMs {
+		var wg sync.WaitGroup
+		var over atomic.Bool
+		for n := range 8 {
+			wg.Go(func() {
+				path := [...]string{"/search/x", "/search/slow"}[n%2]
+				for k := 0; !over.Load(); k++ {
+					vm := f.VMs[(i+1+k%2)%3]
+					id := fmt.Sprintf("stop-%d-%d-%d", i, n, k)
+					w, _, err := vm.Get(id, path)
+					if err != nil || w.StatusCode != http.StatusOK || w.Header.Get("Missing-Parts") != "0" {
+						t.Errorf("%s of %s: %v %+v", id, vm.ID, err, w)
+						return
+					}
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		err := stopping.Stop()
+		over.Store(true)
+		wg.Wait()
+		is.NoErr(err)
+		is.NoErr(stopping.Start(binDir, dir, t.Output()))
+		for end := time.Now().Add(20 * time.Second); f.CheckComplete(stopping) != nil; time.Sleep(20 * time.Millisecond) {
+			is.True(time.Now().Before(end)) // it serves again
+		}
+	}
+}
