Forget calls to other VMs that have ended

What callers could see: a VM of a large fleet takes more and more memory, until it is killed with its requests in progress.

Cause: a call to another VM stayed registered after its end until a last part or the end of the connection. The other VM sends no last part once it has been told that the caller is answered, and a connection in use doesn't end. Each such call keeps the state of its request.

Change: a call is forgotten when it has ended and was accepted.

--- a/services/gatherer/client.go
+++ b/services/gatherer/client.go
@@ -118,9 +118,11 @@
 	handler forwarder.CallHandler
 	peer    *peer
 	ended   atomic.Bool
-	// conn and id are set once the call is assigned to a connection. They are guarded by peer.mu.
-	conn *conn
-	id   uint64
+	// conn and id are set once the call is assigned to a connection, and accepted once the VM has accepted
+	// it. They are guarded by peer.mu.
+	conn     *conn
+	id       uint64
+	accepted bool
 }
 
 // send writes a call. It may have to open a connection, and therefore runs in its own goroutine.
@@ -184,10 +186,15 @@
 func (p *peer) handleFrame(f frame) error {
 	p.mu.Lock()
 	x := p.calls[f.call]
-	p.mu.Unlock()
 	if x == nil {
+		p.mu.Unlock()
 		return nil
 	}
+	if f.kind == kindAccepted {
+		x.accepted = true
+		p.removeIfOver(x)
+	}
+	p.mu.Unlock()
 	switch f.kind {
 	case kindAccepted:
 		x.handler.Accepted()
@@ -208,6 +215,14 @@
 	return nil
 }
 
+// removeIfOver removes a call of which nothing more is expected: it has ended and was accepted. The other VM may
+// send nothing more about it. The caller must hold mu.
+func (p *peer) removeIfOver(x *outgoingCall) {
+	if x.accepted && x.ended.Load() {
+		delete(p.calls, x.id)
+	}
+}
+
 func (p *peer) removeCall(id uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -248,10 +263,13 @@
 	x.sendFrame(frame{kind: kindStart})
 }
 
-// End implements forwarder.OngoingCall. The call stays registered, since the VM may still accept it,
-// and the time until then is measured.
+// End implements forwarder.OngoingCall. The call stays registered until the VM has accepted it, since the
+// time until then is measured.
 func (x *outgoingCall) End(gone bool) {
 	x.ended.Store(true)
+	x.peer.mu.Lock()
+	x.peer.removeIfOver(x)
+	x.peer.mu.Unlock()
 	f := frame{kind: kindEnd}
 	if !gone {
 		f.body = endBodyAnswered
--- a/services/gatherer/gatherer_test.go
+++ b/services/gatherer/gatherer_test.go
@@ -243,3 +243,33 @@
 	c.CloseIdle(time.Now().Add(2 * idleTimeout)) // now the connection is idle
 	is.Equal(len(c.peers), 0)
 }
+
+// TestEndedCallsAreForgotten guards against memory that grows with each call whose caller was answered before the other VM
+// was done: that VM sends nothing more about it.
+func TestEndedCallsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	accepts := make(chan struct{}, 1)
+	c, _ := startPair(t, keys, func(ctx context.Context, _ *forwarder.Call, accept func() bool, _ func(forwarder.Partial)) error {
+		<-accepts
+		accept()
+		<-ctx.Done()
+		return nil
+	})
+	accepted, late := newTestHandler(), newTestHandler()
+	x := c.Gather(vm, newCall(time.Now()), accepted)
+	accepts <- struct{}{}
+	<-accepted.accepted
+	x.Start()
+	x.End(false)
+	is.Equal(len(c.peer(vm.Link).calls), 0)
+	y := c.Gather(vm, newCall(time.Now()), late).(*outgoingCall)
+	for registered := false; !registered; time.Sleep(time.Millisecond) {
+		y.peer.mu.Lock()
+		registered = len(y.peer.calls) > 0
+		y.peer.mu.Unlock()
+	}
+	y.End(false)
+	accepts <- struct{}{}
+	<-late.accepted // it is measured when the VM accepted the call
+	is.Equal(len(c.peer(vm.Link).calls), 0)
+}
