A VM takes no request after its last look at what is in progress

By the code a request could also be read and dropped there.

Cause: requests were taken until the process had ended, and nothing looked at them after the last check. Change: once nothing is in progress the listener is sealed, and the stop looks again, at least one interval later.

--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -392,6 +392,11 @@
 	t.refusing.Store(true)
 }
 
+// Seal implements traffic.
+func (t vmTraffic) Seal() {
+	t.callers.Seal()
+}
+
 // InFlight implements traffic.
 func (t vmTraffic) InFlight() int {
 	return max(t.callers.InFlight(), t.callers.Unrecorded()) + t.forward.ActiveCalls()
--- a/services/launcher/stopper.go
+++ b/services/launcher/stopper.go
@@ -27,6 +27,8 @@
 	Drain(end time.Time)
 	// Refuse makes every new request get a refusal.
 	Refuse()
+	// Seal makes the VM take no further request.
+	Seal()
 	// InFlight returns the number of requests whose answers are not completely sent, or whose log lines
 	// are not written yet.
 	InFlight() int
@@ -58,7 +60,12 @@
 	})
 	s.traffic.Refuse()
 	s.leave()
-	s.wait(ctx, func(now time.Time) bool { return now.After(exit) || s.traffic.InFlight() == 0 })
+	finished := func(now time.Time) bool { return now.After(exit) || s.traffic.InFlight() == 0 }
+	s.wait(ctx, finished)
+	// A request that is taken between the last look and the exit would get no answer, or no log line.
+	s.traffic.Seal()
+	sealed := time.Now()
+	s.wait(ctx, func(now time.Time) bool { return now.Sub(sealed) >= pollInterval && finished(now) })
 }
 
 // wait polls done until it returns true or ctx ends.
--- a/services/launcher/stopper_test.go
+++ b/services/launcher/stopper_test.go
@@ -25,6 +25,9 @@
 	cut     int
 	began   time.Time
 	refused time.Duration
+	sealed  bool
+	// lastLook, if not nil, is called by Seal with the lock held.
+	lastLook func()
 }
 
 func (f *fakeTraffic) Drain(end time.Time) {
@@ -56,6 +59,15 @@
 	return f.last
 }
 
+func (f *fakeTraffic) Seal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sealed = true
+	if f.lastLook != nil {
+		f.lastLook()
+	}
+}
+
 // request simulates a request that takes d, or until end if that is earlier.
 func (f *fakeTraffic) request(d time.Duration) {
 	f.mu.Lock()
@@ -173,3 +185,23 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestRequestAfterTheLastLook guards against a request without an answer or a log line: it is taken after the last
+// time that the stopper has looked for requests in progress.
+func TestRequestAfterTheLastLook(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var f fakeTraffic
+		f.lastLook = func() {
+			f.inFlight++ // it was taken right before
+			time.AfterFunc(50*time.Millisecond, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.inFlight--
+			})
+		}
+		runStop(t, &f, func() {})
+		is.True(f.sealed)
+		is.Equal(f.cut, 0)
+	})
+}
