--- a/tests/soak/history.go
+++ b/tests/soak/history.go
@@ -232,7 +232,7 @@
 		b.notices[key] = n
 	}
 	if !n.leftAt.IsZero() && q.sent.After(n.leftAt.Add(drainTime)) && b.undisturbedSince(q.vm, n.leftAt) {
-		b.addViolationLocked("leaving server: %s got request %s, sent %v after an answer from it that said so", a.server.id, b.describe(q), q.sent.Sub(n.leftAt))
+		b.addViolationLocked("leaving server: %s got request %s at %s, sent %v after an answer from it that said so", a.server.id, q.id, q.vm, q.sent.Sub(n.leftAt))
 	}
 	for i := range n.pauses {
 		p := &n.pauses[i]
@@ -240,7 +240,7 @@
 			continue
 		}
 		if p.arrivals++; p.arrivals > maxPauseArrivals && b.undisturbedSince(q.vm, p.begin) && a.server.proxy.calmSince(p.begin.Add(-linkCalmTime)) {
-			b.addViolationLocked("paused server: %s got request %s, %v after it asked for a pause of %v", a.server.id, b.describe(q), a.at.Sub(p.begin), p.end.Sub(p.begin))
+			b.addViolationLocked("paused server: %s got request %s at %s, %v after it asked for a pause of %v", a.server.id, q.id, q.vm, a.at.Sub(p.begin), p.end.Sub(p.begin))
 		}
 	}
 	if a.pause > 0 {
