VMs leave silent readers of the store in time

Cause: a read of a VM without power takes a second to fail, and a source that failed was left aside for a second, by the watcher that found it. Each watcher went back and forth between the two readers until membership dropped them.

Change: the watchers of a VM share what they know of failures, and don't follow the same source if there is another. A VM that doesn't answer is left aside for 3 s. A read of another VM ends when the VM's own copy reaches the age at which it may read the store, which then comes first. Standby readers read the store as soon as neither reader answers. A stale source is asked again after 200 ms while a standby may be taking over, and the VMs that aren't standby read the store within 200 ms one after the other, by rank: so few read it.

Why it works: whatever number of VMs is silent, no wait outlasts the age of 2.6 s, and the store is next.

--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -58,8 +58,9 @@
 	// use and must not call the Follower, whose lock is held during the call.
 	OnFleetRecord func(it replicator.Item)
 
-	reads *prometheus.CounterVec
-	state atomic.Pointer[forwarder.State]
+	reads   *prometheus.CounterVec
+	sources sourceStates
+	state   atomic.Pointer[forwarder.State]
 
 	mu       sync.Mutex
 	table    *router.Table
--- a/services/follower/watcher.go
+++ b/services/follower/watcher.go
@@ -1,7 +1,6 @@
 package follower
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -21,8 +20,16 @@
 	// relayWatchWait is the time for which one watch of another VM waits for a change.
 	relayWatchWait = 500 * time.Millisecond
 	// defaultBackoff is the time for which a source is not read after a failure while there is
-	// another source.
+	// another source. A VM that does not answer is left aside longer, as each read of it takes up to a
+	// second to fail.
 	defaultBackoff = time.Second
+	silentBackoff  = 3 * time.Second
+	// takeoverBackoff is the backoff of a stale source while a standby reader may be about to take over.
+	takeoverBackoff = 200 * time.Millisecond
+	// takeoverTime is the age of the VM's own copy up to which takeoverBackoff applies.
+	takeoverTime = 2 * replicator.StaleAfter
+	// minRelayWait is the shortest wait of a watch of another VM.
+	minRelayWait = 100 * time.Millisecond
 	// minRetryDelay and maxRetryDelay are the first and the longest delay between retries while all
 	// sources fail. The delay doubles with each retry.
 	minRetryDelay = 50 * time.Millisecond
@@ -66,14 +73,20 @@
 	Name string
 	// IsStore is true for the store itself, whose calls are paid for.
 	IsStore bool
-	// MinAge is the age of the VM's own copy from which on the source may be followed.
+	// MinAge is the age of the VM's own copy from which on the source may be followed. For the store it
+	// also bounds the time for which this VM waits for others: reads of other VMs end at this age.
 	MinAge time.Duration
+	// IsReader is true for a VM that reads the store all the time.
+	IsReader bool
+	// IsStandby is true for the store of a standby reader: it may be followed regardless of MinAge while
+	// no reader answers.
+	IsStandby bool
 	// BootstrapOnly is true for a source that is used for the first snapshot only.
 	BootstrapOnly bool
 	// BootstrapDelay is the time for which the first snapshot is read from other sources only.
 	BootstrapDelay time.Duration
 	// Backoff is the time for which the source is not followed after a failure; 0 means
-	// defaultBackoff.
+	// defaultBackoff, or silentBackoff for a VM that does not answer.
 	Backoff time.Duration
 	Source  replicator.Source
 }
@@ -87,12 +100,10 @@
 // watcher follows one source at a time. Several watchers with different sources run in parallel, so
 // that the loss of one source causes no gap.
 type watcher struct {
-	follower *Follower
-	index    int
-	provider SourceProvider
-	// lastFailure holds the time of the last failure of each source by its name.
-	lastFailure map[string]time.Time
-	retryDelay  time.Duration
+	follower   *Follower
+	index      int
+	provider   SourceProvider
+	retryDelay time.Duration
 }
 
 // Follow reads a first snapshot and then keeps the view up to date with the given number of
@@ -102,7 +113,7 @@
 	pauser.Pause(ctx, settleTime)
 	var wg sync.WaitGroup
 	for i := range watchers {
-		w := &watcher{follower: f, index: i, provider: provider, lastFailure: make(map[string]time.Time), retryDelay: minRetryDelay}
+		w := &watcher{follower: f, index: i, provider: provider, retryDelay: minRetryDelay}
 		wg.Go(func() { w.run(ctx) })
 	}
 	wg.Wait()
@@ -160,7 +171,9 @@
 			continue
 		}
 		began := time.Now()
+		w.follower.sources.use(w.index, s.Name)
 		err := w.follow(ctx, s)
+		w.follower.sources.use(w.index, "")
 		if ctx.Err() != nil {
 			return
 		}
@@ -168,7 +181,7 @@
 			continue
 		}
 		now := time.Now()
-		w.lastFailure[s.Name] = now
+		w.follower.sources.fail(s.Name, failure{at: now, stale: errors.Is(err, errStale)})
 		if now.Sub(began) > maxRetryDelay {
 			w.retryDelay = minRetryDelay
 		}
@@ -176,36 +189,96 @@
 	}
 }
 
-// pickSource returns the first source that may be followed and has not failed within its backoff.
+// pickSource returns the first source that may be followed and is not left aside after a failure. A source
+// that another watcher follows is picked only if there is no other, so that no two watchers wait for one VM.
+// The store comes first once the copy is so old that this VM may read it, if a source has failed since the
+// copy was fresh: the next VM might not answer either.
 func (w *watcher) pickSource(now time.Time) (NamedSource, bool) {
-	age := now.Sub(w.follower.Cache.SyncedAt())
-	for _, s := range w.provider.Sources(w.index) {
-		if !s.BootstrapOnly && age >= s.MinAge && now.Sub(w.lastFailure[s.Name]) >= cmp.Or(s.Backoff, defaultBackoff) {
+	st := &w.follower.sources
+	synced := w.follower.Cache.SyncedAt()
+	age := now.Sub(synced)
+	sources := w.provider.Sources(w.index)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	failed := slices.ContainsFunc(sources, func(s NamedSource) bool { return st.failures[s.Name].at.After(synced) })
+	readersLost := st.readersLost(sources, now)
+	var picked, shared []NamedSource
+	for _, s := range sources {
+		takesOver := s.IsStandby && readersLost
+		switch {
+		case s.BootstrapOnly, st.leftAside(s, now, age), age < s.MinAge && !takesOver:
+		case s.MinAge > 0 && (failed || takesOver):
 			return s, true
+		case !s.IsStore && st.usedByOther(w.index, s.Name):
+			shared = append(shared, s)
+		default:
+			picked = append(picked, s)
 		}
 	}
-	return NamedSource{}, false
+	if picked = append(picked, shared...); len(picked) == 0 {
+		return NamedSource{}, false
+	}
+	return picked[0], true
 }
 
-// follow applies the changes of one source until a read fails or a preferred source is available.
-func (w *watcher) follow(ctx context.Context, s NamedSource) error {
-	wait := relayWatchWait
+// relayTime returns the time for which the next watch of another VM waits for a change, and the time at
+// which its read ends. A watch does not wait until the copy is stale, so that this VM learns in time whether
+// its source still has fresh data. A read ends when the copy reaches the age at which this VM may read the
+// store; zero if it is older already.
+func (w *watcher) relayTime(now time.Time) (wait time.Duration, end time.Time) {
+	synced := w.follower.Cache.SyncedAt()
+	wait = max(minRelayWait, min(relayWatchWait, synced.Add(replicator.StaleAfter).Sub(now)))
+	for _, s := range w.provider.Sources(0) {
+		if at := synced.Add(s.MinAge); s.MinAge > 0 && at.After(now) {
+			return wait, at
+		}
+	}
+	return wait, time.Time{}
+}
+
+// boundRead returns ctx with the end of a read of s, and the time for which a watch of s waits.
+func (w *watcher) boundRead(ctx context.Context, s NamedSource) (context.Context, context.CancelFunc, time.Duration) {
 	if s.IsStore {
-		wait = storeWatchWait
+		return ctx, func() {}, storeWatchWait
+	}
+	wait, end := w.relayTime(time.Now())
+	if end.IsZero() {
+		return ctx, func() {}, wait
 	}
+	bounded, cancel := context.WithDeadline(ctx, end)
+	return bounded, cancel, wait
+}
+
+// loadSnapshot applies a snapshot of s within the time that this VM waits for others.
+func (w *watcher) loadSnapshot(ctx context.Context, s NamedSource) (replicator.Cursor, error) {
+	bounded, cancel, _ := w.boundRead(ctx, s)
+	defer cancel()
+	return w.follower.loadSnapshot(bounded, s)
+}
+
+// changes watches s within the time that this VM waits for others.
+func (w *watcher) changes(ctx context.Context, s NamedSource, after replicator.Cursor) (replicator.Batch, error) {
+	bounded, cancel, wait := w.boundRead(ctx, s)
+	defer cancel()
+	b, err := s.Source.Changes(bounded, after, wait)
+	w.follower.countRead(s, "changes", err)
+	return b, err
+}
+
+// follow applies the changes of one source until a read fails or a preferred source is available.
+func (w *watcher) follow(ctx context.Context, s NamedSource) error {
 	// Start from a snapshot instead of an earlier cursor, because changes at this source may have
 	// been missed: an interrupted watch may have delivered nothing for some time before, and
 	// another VM may have restarted.
-	after, err := w.follower.loadSnapshot(ctx, s)
+	after, err := w.loadSnapshot(ctx, s)
 	if err != nil {
 		return err
 	}
 	began := time.Now()
 	for {
-		b, err := s.Source.Changes(ctx, after, wait)
-		w.follower.countRead(s, "changes", err)
+		b, err := w.changes(ctx, s, after)
 		if errors.Is(err, replicator.ErrCompacted) {
-			if after, err = w.follower.loadSnapshot(ctx, s); err != nil {
+			if after, err = w.loadSnapshot(ctx, s); err != nil {
 				return err
 			}
 			continue
--- a/services/launcher/sources.go
+++ b/services/launcher/sources.go
@@ -21,8 +21,8 @@
 const (
 	// readerCount is the number of VMs that read the store; the other VMs follow them.
 	readerCount = 2
-	// standbyCount is the number of standby readers, which read the store as soon as all readers are
-	// stale. The other VMs then follow the standby readers, and read the store themselves only if that
+	// standbyCount is the number of standby readers, which read the store as soon as no reader answers
+	// or all are stale. The other VMs then follow the standby readers, and read the store themselves only if that
 	// fails.
 	standbyCount = 2
 	// hubCount is the number of VMs of each data centre that follow the readers, in a fleet of more than
@@ -38,8 +38,10 @@
 	// the first start of the fleet.
 	seedDelay = time.Second
 	// standbyDelay is the additional age of the copy after which the other VMs read the store, so that
-	// the standby readers can read it first.
+	// the standby readers can read it first. Within storeSpread after it they read the store one after
+	// the other.
 	standbyDelay = 400 * time.Millisecond
+	storeSpread  = 200 * time.Millisecond
 )
 
 // sourceProvider chooses the sources that this VM follows. It implements follower.SourceProvider.
@@ -143,6 +145,9 @@
 		position = len(p.ranked)
 	}
 	out := p.relaySources(p.ranked[:min(readerCount+standbyCount, len(p.ranked))])
+	for i := range out {
+		out[i].IsReader = slices.ContainsFunc(p.ranked[:min(readerCount, len(p.ranked))], func(m prober.Member) bool { return m.ID == out[i].Name })
+	}
 	store := follower.NamedSource{Name: "store", IsStore: true, Backoff: readerBackoff, Source: p.store}
 	if near := p.relaySources(p.localHubs()); position >= readerCount+standbyCount && len(near) > 0 {
 		out = append(near, slices.DeleteFunc(out, func(s follower.NamedSource) bool {
@@ -167,9 +172,10 @@
 	case position < readerCount:
 		return append([]follower.NamedSource{store}, out...)
 	case position < readerCount+standbyCount:
-		store.MinAge = replicator.StaleAfter
+		store.MinAge, store.IsStandby = replicator.StaleAfter, true
 	default:
-		store.MinAge, store.Backoff = replicator.StaleAfter+standbyDelay, followerBackoff
+		spread := storeSpread * time.Duration(position) / time.Duration(len(p.ranked)+1)
+		store.MinAge, store.Backoff = replicator.StaleAfter+standbyDelay+spread, followerBackoff
 	}
 	return append(out, store)
 }
