Crashing requests are remembered across restarts, by caller

With other callers on the same path it was never refused, or all of them were refused with it.

Cause: losses were in a VM's memory and told once, to the VMs that lived then; the fingerprint had method, host, path and body only, and a reply to anyone cleared it. Change: the replies to the reads that VMs make of each other's copies carry losses with their ages, all in the first one that a client gets, then recent ones. No store writes. The fingerprint covers the end-to-end header fields, except those that usually differ in each attempt. Requests that differ only in these form a group: a reply to others of it raises the losses needed from two to three, and the whole group is barred after three requests on three replicas if none of it had a reply. A further loss of a barred request is kept and told. Loss reports of other VMs within 2 s are one loss.

--- a/modules/quarantiner/quarantiner_test.go
+++ b/modules/quarantiner/quarantiner_test.go
@@ -73,3 +73,94 @@
 	}
 	is.True(len(r.safe)+len(r.olderSafe) <= maxSafe)
 }
+
+// TestCrashingRequestInSafeGroup guards against a request that crashes servers and is never blocked because others
+// ask for the same without harm, and against those others being blocked with it.
+func TestCrashingRequestInSafeGroup(t *testing.T) {
+	is := is.New(t)
+	var r Tracker
+	r.MarkSafe(9)
+	for i, server := range []string{"a", "b", "c"} {
+		is.Equal(r.Verdict(1, epoch) == Blocked, false)
+		is.True(r.Report(Loss{Fingerprint: 1, Group: 9, Server: server, At: epoch}))
+		if i < 2 { // others ran beside it
+			is.True(r.Report(Loss{Fingerprint: 2, Group: 9, Server: server, At: epoch}))
+		}
+	}
+	r.MarkSafe(9) // by another request
+	is.Equal(r.Verdict(1, epoch), Blocked)
+	for _, f := range []Fingerprint{2, 3, 9} {
+		is.True(r.Verdict(f, epoch) != Blocked)
+	}
+}
+
+// TestGroupIsBlocked guards against a request that looks new with each attempt, as a header field differs. The group is
+// blocked after three requests on three servers, until one of it has a complete reply.
+func TestGroupIsBlocked(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		requests [3]Fingerprint
+		servers  [3]string
+		want     Verdict
+	}{
+		{"three requests", [3]Fingerprint{1, 2, 3}, [3]string{"a", "b", "c"}, Blocked},
+		{"two requests", [3]Fingerprint{1, 2, 2}, [3]string{"a", "b", "c"}, Allowed},
+		{"one crash", [3]Fingerprint{1, 2, 3}, [3]string{"a", "a", "a"}, Allowed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var r Tracker
+			for i, f := range tc.requests {
+				r.Report(Loss{Fingerprint: f, Group: 9, Server: tc.servers[i], At: epoch})
+			}
+			is.Equal(r.Verdict(9, epoch), tc.want)
+			r.Report(Loss{Fingerprint: 4, Group: 9, GroupSafe: true, Server: "d", At: epoch})
+			is.Equal(r.Verdict(9, epoch), Allowed)
+		})
+	}
+}
+
+// TestRestartedVMLearnsLosses guards against a VM that forgets crashing requests as it restarts, and against a loss
+// that counts twice since it comes from several VMs.
+func TestRestartedVMLearnsLosses(t *testing.T) {
+	is := is.New(t)
+	var old, started, third Tracker
+	for i, server := range []string{"a", "b"} {
+		old.Report(Loss{Fingerprint: 1, Group: 9, Server: server, At: epoch.Add(time.Duration(i))})
+	}
+	old.Report(Loss{Fingerprint: 2, Group: 8, Server: "a", At: epoch})
+	now := epoch.Add(time.Minute)
+	is.Equal(len(old.Losses(false, now)), 0)
+	list := old.Losses(true, now)
+	is.Equal(list[0].Fingerprint, Fingerprint(1)) // the one that lost several servers
+	for range 3 {
+		started.Merge(list, now)
+		for i := range list {
+			list[i].At = list[i].At.Add(500 * time.Millisecond) // time on the way
+		}
+	}
+	is.Equal(started.Verdict(1, now), Blocked)
+	is.Equal(started.Verdict(2, now), Suspect)
+	third.Merge(started.Losses(false, now), now) // it passes on what it has just learned
+	is.Equal(third.Verdict(1, now), Blocked)
+	is.Equal(len(started.Losses(false, now.Add(time.Minute))), 0)
+	is.Equal(third.Verdict(1, epoch.Add(defaultRetention+time.Minute)), Allowed) // age is kept on the way
+	old.Merge([]Loss{{Fingerprint: 5, Server: "a", At: now.Add(-time.Hour)}}, now)
+	is.Equal(old.Verdict(5, now), Allowed)
+}
+
+// TestBlockedRequestIsKept guards against the record of a crashing request being pushed out by the losses of many
+// requests that ran beside others.
+func TestBlockedRequestIsKept(t *testing.T) {
+	is := is.New(t)
+	var r Tracker
+	for _, server := range []string{"a", "b"} {
+		r.Report(Loss{Fingerprint: 1, Server: server, At: epoch})
+	}
+	for i := range Fingerprint(maxRecords + 10) {
+		r.Report(Loss{Fingerprint: i + 10, Server: "c", At: epoch.Add(time.Duration(i))})
+	}
+	is.Equal(r.Verdict(1, epoch), Blocked)
+	is.Equal(len(r.Losses(true, epoch.Add(time.Second))), MaxReported)
+	is.Equal(len(r.Losses(false, epoch.Add(time.Second))), maxRecent)
+}
--- a/services/forwarder/attempt.go
+++ b/services/forwarder/attempt.go
@@ -83,7 +83,7 @@
 	change := fl.f.ranks.End(a.to.Key, a.part.work, run, now)
 	fl.f.logReplicaChange(a, change, err)
 	if errors.Is(err, ErrConnLost) && !fl.callerLeft() {
-		go fl.f.checkCrash(a.to, fl.fingerprint, now)
+		go fl.f.checkCrash(a.to, fl.identity, now)
 	}
 	fl.inbox.add(result{attempt: a, reply: reply, err: err, at: now})
 }
--- a/services/forwarder/call.go
+++ b/services/forwarder/call.go
@@ -142,13 +142,13 @@
 		route: &router.Route{
 			Name: c.Route, Shards: c.Shards, Idempotent: true, TargetLatency: c.TargetLatency, MaxAttempts: c.MaxAttempts, TopK: c.TopK,
 		},
-		r:           c.Request,
-		ctx:         ctx,
-		deadline:    c.Deadline,
-		target:      c.Cutoff,
-		partialAt:   c.Cutoff,
-		fingerprint: fingerprint(c.Request),
-		stopping:    f.stopping,
+		r:         c.Request,
+		ctx:       ctx,
+		deadline:  c.Deadline,
+		target:    c.Cutoff,
+		partialAt: c.Cutoff,
+		identity:  identify(c.Request),
+		stopping:  f.stopping,
 	}
 	if f.stop.Load() != nil {
 		fl.endWithVM()
@@ -161,7 +161,7 @@
 	for _, p := range fl.parts {
 		p.sent, p.ran = c.PriorAttempts, c.PriorAttempts
 	}
-	if f.quarantined(fl.fingerprint, c.Arrived) {
+	if f.quarantined(fl.identity, c.Arrived) {
 		emit(Partial{Final: true, Reasons: []string{outcomeQuarantined}})
 		return
 	}
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -8,7 +8,6 @@
 
 	"github.com/ebonylock/ebonylock/modules/budgeter"
 	"github.com/ebonylock/ebonylock/modules/decider"
-	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/ranker"
 	"github.com/ebonylock/ebonylock/modules/registrar"
 	"github.com/ebonylock/ebonylock/modules/router"
@@ -97,8 +96,8 @@
 	inbox     *inbox[result]
 	// timer ends wait.
 	timer *time.Timer
-	// fingerprint is the same for requests that look identical to a replica.
-	fingerprint quarantiner.Fingerprint
+	// identity is the same for requests that look identical to a replica.
+	identity identity
 	// provenSafe is true once a reply has shown that the request does not crash replicas.
 	provenSafe bool
 	// fanout is set when other VMs gather the parts.
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -133,8 +133,8 @@
 	if m == nil {
 		return f.withRecord(nil, r, Response{Status: http.StatusNotFound}, outcomeNoRoute)
 	}
-	fp := fingerprint(r)
-	if f.quarantined(fp, r.Arrived) {
+	id := identify(r)
+	if f.quarantined(id, r.Arrived) {
 		return f.withRecord(nil, r, notRunResponse(0), outcomeQuarantined)
 	}
 	callerTimeout := r.CallerTimeout
@@ -146,16 +146,16 @@
 	}
 	timeUsed := f.timeUsed(m.Route, r, callerTimeout)
 	fl := &flight{
-		f:           f,
-		state:       state,
-		route:       m.Route,
-		r:           r,
-		ctx:         ctx,
-		deadline:    r.Arrived.Add(min(callerTimeout, m.Timeout)),
-		target:      r.Arrived.Add(m.TargetLatency - timeUsed),
-		timeUsed:    timeUsed,
-		fingerprint: fp,
-		stopping:    f.stopping,
+		f:        f,
+		state:    state,
+		route:    m.Route,
+		r:        r,
+		ctx:      ctx,
+		deadline: r.Arrived.Add(min(callerTimeout, m.Timeout)),
+		target:   r.Arrived.Add(m.TargetLatency - timeUsed),
+		timeUsed: timeUsed,
+		identity: id,
+		stopping: f.stopping,
 	}
 	if f.stop.Load() != nil {
 		fl.endWithVM()
@@ -204,11 +204,6 @@
 	return Response{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter}
 }
 
-// fingerprint returns the same value for requests that look identical to a replica.
-func fingerprint(r *Request) quarantiner.Fingerprint {
-	return quarantiner.FingerprintOf(r.Method+" "+r.Host+r.Target, r.Body)
-}
-
 // budget returns the budget of extra sends to a service. slack is this VM's share of the slack that
 // all VMs have in addition to the ratio.
 func (f *Forwarder) budget(service string, slack float64, now time.Time) *budgeter.Window {
--- a/services/forwarder/types.go
+++ b/services/forwarder/types.go
@@ -156,7 +156,9 @@
 type Quarantine interface {
 	// Verdict returns whether, and how, a request may be run.
 	Verdict(f quarantiner.Fingerprint, now time.Time) quarantiner.Verdict
-	// MarkSafe records that a request got a complete reply.
+	// IsSafe returns whether a request, or one of a group, is known to have got a complete reply.
+	IsSafe(f quarantiner.Fingerprint) bool
+	// MarkSafe records that a request, or one of a group, got a complete reply.
 	MarkSafe(f quarantiner.Fingerprint)
 	// Report records the loss of a replica. It returns true if the loss was not known yet.
 	Report(l quarantiner.Loss) bool
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -236,10 +236,10 @@
 		return err
 	}
 	d.relay.OnStream = calls.ServeConn
-	d.relay.OnLoss = func(l quarantiner.Loss) { d.quarantine.Report(l) }
+	d.relay.OnLoss = func(l quarantiner.Loss) { d.quarantine.Merge([]quarantiner.Loss{l}, l.At) }
 	d.evidence.OnChange = d.logVerdict
-	d.relay.Evidence = &d.evidence
-	d.provider = sourceProvider{self: d.site.VM.ID, dataCentre: d.site.VM.DataCentre, store: store.New(d.site.Store), keys: relayKeys, evidence: &d.evidence, log: d.log}
+	d.relay.Evidence, d.relay.Losses = &d.evidence, &d.quarantine
+	d.provider = sourceProvider{self: d.site.VM.ID, dataCentre: d.site.VM.DataCentre, store: store.New(d.site.Store), keys: relayKeys, evidence: &d.evidence, losses: &d.quarantine, log: d.log}
 	d.provider.seeds = seedMembers(d.site.Peers.Seeds, d.relay.Addr())
 	d.provider.deferFirstRead = d.site.FirstStart && len(d.provider.seeds) == len(d.site.Peers.Seeds) && len(d.provider.seeds) > 0
 	self := prober.Member{
--- a/services/launcher/sources.go
+++ b/services/launcher/sources.go
@@ -55,7 +55,9 @@
 	keys  [][]byte
 	// evidence is exchanged with the VMs that are followed.
 	evidence *reporter.Evidence
-	log      *logrus.Logger
+	// losses are read from the VMs that are followed.
+	losses relayer.LossTracker
+	log    *logrus.Logger
 
 	mu sync.Mutex
 	// ranked holds the VMs that may read the store. The order is the same on all VMs that have the same
@@ -65,8 +67,8 @@
 	clients map[netip.AddrPort]*relayer.Client
 }
 
-// broadcastLoss reports a loss to all other VMs. There is no retry: a VM that misses the report
-// relies on the losses that it observes itself.
+// broadcastLoss reports a loss to all other VMs. There is no retry: a VM that misses the report reads the
+// loss from the VMs that it follows.
 func (p *sourceProvider) broadcastLoss(l quarantiner.Loss) {
 	for _, c := range p.peerClients() {
 		go func() {
@@ -224,7 +226,7 @@
 			p.log.WithError(err).WithField("event", "relay").Error("failed to create a client for another VM")
 			return follower.NamedSource{}, false
 		}
-		c.Evidence = p.evidence
+		c.Evidence, c.Losses = p.evidence, p.losses
 		if p.clients == nil {
 			p.clients = make(map[netip.AddrPort]*relayer.Client)
 		}
--- a/services/linker/codec.go
+++ b/services/linker/codec.go
@@ -345,12 +345,18 @@
 	lossFingerprint = 1
 	lossServer      = 2
 	lossAt          = 3
+	lossGroup       = 4
+	lossGroupSafe   = 5
 )
 
 // AppendLoss appends the encoding of a loss, in which VMs report it to each other, to b.
 func AppendLoss(b []byte, l quarantiner.Loss) []byte {
 	b = encoder.AppendVarint(b, lossFingerprint, uint64(l.Fingerprint))
 	b = encoder.AppendBytes(b, lossServer, []byte(l.Server))
+	b = encoder.AppendVarint(b, lossGroup, uint64(l.Group))
+	if l.GroupSafe {
+		b = encoder.AppendVarint(b, lossGroupSafe, 1)
+	}
 	return encoder.AppendVarint(b, lossAt, unixMicro(l.At))
 }
 
@@ -365,6 +371,10 @@
 			l.Server = string(raw)
 		case lossAt:
 			l.At = time.UnixMicro(int64(v))
+		case lossGroup:
+			l.Group = quarantiner.Fingerprint(v)
+		case lossGroupSafe:
+			l.GroupSafe = v != 0
 		}
 		return nil
 	})
--- a/services/relayer/codec.go
+++ b/services/relayer/codec.go
@@ -7,7 +7,9 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/ebonylock/ebonylock/modules/encoder"
+	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/reporter"
+	"github.com/ebonylock/ebonylock/services/linker"
 	"github.com/ebonylock/ebonylock/services/replicator"
 )
 
@@ -16,6 +18,8 @@
 	snapshot bool
 	after    replicator.Cursor
 	wait     time.Duration
+	// allLosses asks for all losses that the other VM knows, not only for recent ones.
+	allLosses bool
 }
 
 // Protobuf field numbers of a readRequest.
@@ -27,13 +31,17 @@
 	// requestTallies holds what the requesting VM has observed of replicas.
 	requestTallies protowire.Number = 5
 	// requestLeavers holds the replicas that have said that they leave.
-	requestLeavers protowire.Number = 6
+	requestLeavers   protowire.Number = 6
+	requestAllLosses protowire.Number = 7
 )
 
 func (q readRequest) append(b []byte) []byte {
 	if q.snapshot {
 		b = encoder.AppendVarint(b, requestSnapshot, 1)
 	}
+	if q.allLosses {
+		b = encoder.AppendVarint(b, requestAllLosses, 1)
+	}
 	b = encoder.AppendVarint(b, requestAfter, q.after.Revision)
 	b = encoder.AppendVarint(b, requestEpoch, q.after.Epoch)
 	return encoder.AppendVarint(b, requestWait, uint64(q.wait.Milliseconds()))
@@ -54,6 +62,8 @@
 			tallies, err = reporter.DecodeTallies(raw)
 		case requestLeavers:
 			leavers, err = reporter.DecodeLeavers(raw)
+		case requestAllLosses:
+			q.allLosses = v != 0
 		}
 		return err
 	})
@@ -75,6 +85,11 @@
 	replyVerdicts protowire.Number = 3
 	// replyLeavers holds the replicas that have said that they leave.
 	replyLeavers protowire.Number = 4
+	// replyLoss holds a loss of a replica.
+	replyLoss protowire.Number = 5
+
+	lossAge    protowire.Number = 1
+	lossReport protowire.Number = 2
 
 	batchRevision protowire.Number = 1
 	batchItem     protowire.Number = 3
@@ -160,7 +175,43 @@
 	return encoder.AppendBytes(b, replyBatch, batch)
 }
 
-func decodeReply(b []byte) (out replicator.Batch, verdicts []reporter.Verdict, leavers []uint64, err error) {
+// appendLosses appends losses to a reply. They are sent with their ages, since the clocks of two VMs differ.
+func appendLosses(b []byte, list []quarantiner.Loss, now time.Time) []byte {
+	var item []byte
+	for _, l := range list {
+		item = encoder.AppendVarint(item[:0], lossAge, uint64(max(now.Sub(l.At), 0).Milliseconds()))
+		item = encoder.AppendBytes(item, lossReport, linker.AppendLoss(nil, l))
+		b = encoder.AppendBytes(b, replyLoss, item)
+	}
+	return b
+}
+
+func decodeLoss(b []byte, now time.Time) (l quarantiner.Loss, err error) {
+	var age time.Duration
+	err = encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) (err error) {
+		switch num {
+		case lossAge:
+			age = boundedMilliseconds(v)
+		case lossReport:
+			l, err = linker.DecodeLoss(raw)
+		}
+		return err
+	})
+	l.At = now.Add(-age)
+	return l, err
+}
+
+// reply is a decoded reply.
+type reply struct {
+	batch    replicator.Batch
+	verdicts []reporter.Verdict
+	leavers  []uint64
+	// losses holds at most quarantiner.MaxReported losses.
+	losses []quarantiner.Loss
+}
+
+// decodeReply decodes a reply that was received at now.
+func decodeReply(b []byte, now time.Time) (r reply, err error) {
 	var age time.Duration
 	err = encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) (err error) {
 		switch num {
@@ -171,15 +222,21 @@
 			if err != nil {
 				return encoder.ErrMalformed
 			}
-			out, err = decodeBatch(plain)
+			r.batch, err = decodeBatch(plain)
 			return err
 		case replyVerdicts:
-			verdicts, err = reporter.DecodeVerdicts(raw)
+			r.verdicts, err = reporter.DecodeVerdicts(raw)
 		case replyLeavers:
-			leavers, err = reporter.DecodeLeavers(raw)
+			r.leavers, err = reporter.DecodeLeavers(raw)
+		case replyLoss:
+			l, err := decodeLoss(raw, now)
+			if err != nil || len(r.losses) == quarantiner.MaxReported {
+				return err
+			}
+			r.losses = append(r.losses, l)
 		}
 		return err
 	})
-	out.Age = age
-	return out, verdicts, leavers, err
+	r.batch.Age = age
+	return r, err
 }
--- a/services/relayer/relayer.go
+++ b/services/relayer/relayer.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -49,6 +50,14 @@
 	idleTimeout = time.Minute
 )
 
+// LossTracker stores the losses of replicas.
+type LossTracker interface {
+	// Losses returns the losses to report to another VM: all of them or recent ones.
+	Losses(all bool, now time.Time) []quarantiner.Loss
+	// Merge records losses that another VM knows.
+	Merge(list []quarantiner.Loss, now time.Time)
+}
+
 // Server answers the requests of other VMs with data from a Source.
 type Server struct {
 	// OnLoss is called with each loss that another VM reports; nil to ignore them. It must be set
@@ -57,6 +66,9 @@
 	// Evidence merges what other VMs have observed of replicas and derives the verdicts that are
 	// sent to them; nil for none. It must be set before Serve.
 	Evidence *reporter.Evidence
+	// Losses provides the losses that are sent with each reply; nil for none. It must be set before
+	// Serve.
+	Losses LossTracker
 	// OnStream takes over a connection that another VM opened with DialStream, and must close it;
 	// nil to refuse such connections. It must be set before Serve.
 	OnStream func(c net.Conn)
@@ -159,6 +171,10 @@
 			reply = encoder.AppendBytes(reply, replyVerdicts, reporter.AppendVerdicts(nil, s.Evidence.Evaluate(time.Now())))
 			reply = encoder.AppendBytes(reply, replyLeavers, reporter.AppendLeavers(nil, s.Evidence.RecentLeavers(time.Now())))
 		}
+		if s.Losses != nil {
+			now := time.Now()
+			reply = appendLosses(reply, s.Losses.Losses(q.allLosses, now), now)
+		}
 		ctx.SetBody(s.sealer.Seal(reply))
 	}
 }
@@ -199,12 +215,12 @@
 	}
 }
 
-// compressed returns the compressed form of b, which is the answer to q. The wait of q is not part
-// of the cache key.
+// compressed returns the compressed form of b, which is the answer to q. The wait of q and what it
+// asks for besides the batch are not part of the cache key.
 func (s *Server) compressed(q readRequest, b replicator.Batch) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	q.wait = 0
+	q.wait, q.allLosses = 0, false
 	if len(b.Items) == 0 || s.last.readRequest != q || s.last.cursor != b.Cursor || s.last.batch == nil {
 		batch := compress(b)
 		if len(b.Items) == 0 {
@@ -220,8 +236,12 @@
 	// Evidence provides the observations of replicas that are sent with each read, and stores the
 	// verdicts of the reply; nil for none. It must be set before use.
 	Evidence *reporter.Evidence
-	sealer   *sealer.Sealer
-	http     *fetcher.Client
+	// Losses stores the losses of the replies; nil for none. It must be set before use.
+	Losses LossTracker
+	sealer *sealer.Sealer
+	http   *fetcher.Client
+	// knowsLosses is true once a reply has had all losses that the other VM knew.
+	knowsLosses atomic.Bool
 }
 
 // maxConns is the maximum number of connections to another VM.
@@ -251,6 +271,7 @@
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
+	q.allLosses = c.Losses != nil && !c.knowsLosses.Load()
 	plain := q.append(nil)
 	if c.Evidence != nil {
 		plain = encoder.AppendBytes(plain, requestTallies, reporter.AppendTallies(nil, c.Evidence.DrainTallies(time.Now())))
@@ -269,15 +290,22 @@
 	if plain, err = c.sealer.Open(reply); err != nil {
 		return replicator.Batch{}, oops.Wrap(errors.Join(ErrUnreachable, err))
 	}
-	b, verdicts, leavers, err := decodeReply(plain)
+	now := time.Now()
+	r, err := decodeReply(plain, now)
 	if err != nil {
 		return replicator.Batch{}, oops.Wrap(errors.Join(ErrUnreachable, err))
 	}
 	if c.Evidence != nil {
-		c.Evidence.Update(verdicts, time.Now())
-		c.Evidence.MergeLeavers(leavers, time.Now())
+		c.Evidence.Update(r.verdicts, now)
+		c.Evidence.MergeLeavers(r.leavers, now)
+	}
+	if c.Losses != nil {
+		c.Losses.Merge(r.losses, now)
+		if q.allLosses {
+			c.knowsLosses.Store(true)
+		}
 	}
-	return b, nil
+	return r.batch, nil
 }
 
 // ReportLoss reports a loss to the other VM. Errors match ErrUnreachable.
--- a/services/relayer/relayer_test.go
+++ b/services/relayer/relayer_test.go
@@ -141,7 +141,8 @@
 	is.True(&first[0] == &second[0])
 	is.True(len(first) < 3000) // 25 kB without compression
 	other := s.compressed(readRequest{after: replicator.Cursor{Revision: 4}}, batch(9))
-	got, _, _, err := decodeReply(appendReply(nil, time.Second, other))
+	r, err := decodeReply(appendReply(nil, time.Second, other), time.Now())
+	got := r.batch
 	is.NoErr(err)
 	is.Equal(len(got.Items), 0)
 	is.Equal(got.Age, time.Second)
@@ -149,8 +150,9 @@
 
 func FuzzDecodeReply(f *testing.F) {
 	f.Add(appendReply(nil, time.Second, compress(batch(3, replicator.Item{Key: "k", Value: []byte("v"), Revision: 2}))))
+	f.Add(appendLosses(nil, []quarantiner.Loss{{Fingerprint: 1, Group: 2, Server: "i-1", GroupSafe: true}}, time.Now()))
 	f.Fuzz(func(_ *testing.T, raw []byte) {
-		_, _, _, _ = decodeReply(raw)
+		_, _ = decodeReply(raw, time.Now())
 		_, _, _, _ = decodeRequest(raw)
 		_, _ = decodeBatch(raw)
 	})
@@ -185,3 +187,55 @@
 		is.Equal(e.VerdictFor(reporter.Hash("i-2"), now).FailureRate, 0.0)
 	}
 }
+
+// TestLossesTravel checks that a VM that has just started learns of all losses with its first read of another VM, and
+// with later reads of recent ones only.
+func TestLossesTravel(t *testing.T) {
+	is := is.New(t)
+	var c replicator.Cache
+	c.Load(batch(5, replicator.Item{Key: "a", Revision: 3}), time.Now())
+	s, client := startServer(t, &c)
+	var known, learned quarantiner.Tracker
+	s.Losses, client.Losses = &known, &learned
+	now := time.Now()
+	lose := func(f quarantiner.Fingerprint, age time.Duration) {
+		for _, server := range []string{"i-1", "i-2"} {
+			known.Report(quarantiner.Loss{Fingerprint: f, Group: f + 100, Server: server, At: now.Add(-age)})
+		}
+	}
+	start, err := c.Snapshot(context.Background())
+	is.NoErr(err)
+	read := func() {
+		_, err := client.Changes(context.Background(), start.Cursor, time.Millisecond)
+		is.NoErr(err)
+	}
+	lose(1, 5*time.Minute)
+	read()
+	is.Equal(learned.Verdict(1, now), quarantiner.Blocked)
+	is.Equal(learned.Verdict(1, now.Add(6*time.Minute)), quarantiner.Allowed) // ten minutes after the losses
+	lose(2, time.Minute)
+	lose(3, 0)
+	read()
+	is.Equal(learned.Verdict(2, now), quarantiner.Allowed)
+	is.Equal(learned.Verdict(3, now), quarantiner.Blocked)
+	is.Equal(len(learned.Losses(true, now)), 2)
+}
+
+func TestLossesCodec(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	in := []quarantiner.Loss{
+		{Fingerprint: 1 << 63, Group: 2, GroupSafe: true, Server: "i-1", At: now.Add(-3 * time.Second)},
+		{Fingerprint: 1, Server: "i-2", At: now},
+	}
+	raw := appendLosses(nil, in, now)
+	r, err := decodeReply(raw, now)
+	is.NoErr(err)
+	is.Equal(r.losses, in)
+	for range 2 * quarantiner.MaxReported {
+		raw = appendLosses(raw, in, now)
+	}
+	r, err = decodeReply(raw, now)
+	is.NoErr(err)
+	is.Equal(len(r.losses), quarantiner.MaxReported)
+}
