The last resort runs from the removal of an entry

Cause: such a replica stays a last resort for 2.1 s, counted from when a VM hears of the removal, which may be two seconds late.

Change: the time runs from when the copy is last known to have had the entry. The grace period is meant for entries that lapse while the store is out, so it runs from the store's return if there was an outage: a VM whose read of the store failed, with no fresh copy since, notes when the next read succeeds, and passes on the time since then with its copy (replicator.Batch.StableFor). Replicas whose time is over are out of the view at once.

Why it works: only a VM that saw the store fail speaks of an outage; without that a VM that hears late counts its own lateness. No clocks of two VMs are compared.

--- a/modules/registrar/registrar.go
+++ b/modules/registrar/registrar.go
@@ -56,7 +56,7 @@
 
 type entry struct {
 	Replica
-	// missingSince is the time at which the removal of the entry was noticed; zero while it exists.
+	// missingSince is the time from which the entry counts as missing; zero while it exists.
 	missingSince time.Time
 }
 
@@ -68,10 +68,11 @@
 	r.entries[rep.ID] = &entry{Replica: rep}
 }
 
-// MarkMissing records that an entry is missing since now, unless it is already marked.
-func (r *Registry) MarkMissing(id string, now time.Time) {
+// MarkMissing records that an entry is missing since a time, which may be long before it is noticed, unless
+// it is already marked.
+func (r *Registry) MarkMissing(id string, since time.Time) {
 	if e := r.entries[id]; e != nil && e.missingSince.IsZero() {
-		e.missingSince = now
+		e.missingSince = since
 	}
 }
 
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -97,27 +97,38 @@
 
 // Load applies a snapshot of the store.
 func (f *Follower) Load(b replicator.Batch, now time.Time) {
-	f.applyChanges(f.Cache.Load(b, now), now)
+	synced := f.Cache.SyncedAt()
+	f.applyChanges(f.Cache.Load(b, now), synced, now)
 }
 
 // Apply applies changes of the store.
 func (f *Follower) Apply(b replicator.Batch, now time.Time) {
-	f.applyChanges(f.Cache.Apply(b, now), now)
+	synced := f.Cache.SyncedAt()
+	f.applyChanges(f.Cache.Apply(b, now), synced, now)
 }
 
-func (f *Follower) applyChanges(changes []replicator.Item, now time.Time) {
+// applyChanges applies changes to a copy that was complete at the time synced.
+func (f *Follower) applyChanges(changes []replicator.Item, synced, now time.Time) {
 	if len(changes) == 0 {
 		return
 	}
+	removedAt := synced
+	if at := f.Cache.StableSince(); at.After(synced) {
+		removedAt = at
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, it := range changes {
-		f.applyItem(it, now)
+		f.applyItem(it, removedAt)
 	}
+	f.sweep(now)
 	f.publish()
 }
 
-func (f *Follower) applyItem(it replicator.Item, now time.Time) {
+// applyItem applies one change. removedAt is the earliest time at which the grace period of an entry that
+// is gone may begin: the last time at which the copy is known to have had it, or the store's return if that
+// is later.
+func (f *Follower) applyItem(it replicator.Item, removedAt time.Time) {
 	switch kind, name := f.decoder.ParseKey(it.Key); kind {
 	case ConfigKey:
 		f.applyConfig(it)
@@ -129,7 +140,7 @@
 		}
 		f.log.WithFields(logrus.Fields{"event": "evacuation", "data-centre": name, "out": !it.Removed, "revision": it.Revision}).Info("data centre taken out of service or put back")
 	case ReplicaKey:
-		f.applyReplica(name, it, now)
+		f.applyReplica(name, it, removedAt)
 	case FleetKey:
 		if f.OnFleetRecord != nil {
 			f.OnFleetRecord(it)
@@ -159,10 +170,10 @@
 	f.log.WithFields(fields).Info("new configuration in force")
 }
 
-func (f *Follower) applyReplica(id string, it replicator.Item, now time.Time) {
+func (f *Follower) applyReplica(id string, it replicator.Item, removedAt time.Time) {
 	fields := logrus.Fields{"event": "replica", "id": id, "revision": it.Revision}
 	if it.Removed {
-		f.registry.MarkMissing(id, now)
+		f.registry.MarkMissing(id, removedAt)
 		f.log.WithFields(fields).Info("backend server entry removed")
 		return
 	}
@@ -208,10 +219,18 @@
 func (f *Follower) expire(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.sweep(now) {
+		f.publish()
+	}
+}
+
+// sweep removes the backend servers whose entries have been missing for too long, and reports whether there
+// were any. It must be called with the lock held.
+func (f *Follower) sweep(now time.Time) bool {
 	removed := f.registry.Sweep(now)
 	if len(removed) == 0 {
-		return
+		return false
 	}
 	f.log.WithFields(logrus.Fields{"event": "replica-gone", "ids": removed}).Info("backend servers removed because their entries were missing for too long")
-	f.publish()
+	return true
 }
--- a/services/follower/follower_test.go
+++ b/services/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/netip"
 	"strings"
@@ -104,6 +105,69 @@
 	is.Equal(replicas(), 2)
 }
 
+// TestRemovalHeardLate guards against requests to a replica that has left long ago: the grace period of an entry
+// runs from when the copy last had it, or from the store's return if it was away, not from when this VM hears.
+func TestRemovalHeardLate(t *testing.T) {
+	for _, c := range []struct {
+		heard, stableFor, after time.Duration
+		usable                  bool
+	}{
+		{heard: 100 * time.Millisecond, after: 1900 * time.Millisecond, usable: true},
+		{heard: 2 * time.Second, usable: true},
+		{heard: 2 * time.Second, after: 200 * time.Millisecond},
+		{heard: 2500 * time.Millisecond},
+		{heard: time.Minute, stableFor: 50 * time.Millisecond, after: 2 * time.Second, usable: true},
+		{heard: time.Minute, stableFor: 50 * time.Millisecond, after: 2100 * time.Millisecond},
+		{heard: 2500 * time.Millisecond, stableFor: time.Hour}, // an earlier outage
+	} {
+		t.Run(fmt.Sprint(c.heard, c.stableFor, c.after), func(t *testing.T) {
+			f, start := New(testDecoder{}, discardLogger()), time.Now()
+			f.Load(batch(2, item("config", "4", 1), item("replica/a", "dc-1", 2)), start)
+			b := batch(3, item("replica/a", "", 3))
+			b.StableFor = c.stableFor
+			f.Apply(b, start.Add(c.heard))
+			f.expire(start.Add(c.heard + c.after))
+			is.New(t).Equal(len(f.State().View.Services["s"]) > 0, c.usable)
+		})
+	}
+}
+
+// TestOutageIsToldApart guards against replicas that are dropped at once after an outage of the store, in
+// which their entries lapsed: all VMs learn from the readers that the store was away. If only the readers
+// are cut off from the store, the entries are gone in time.
+func TestOutageIsToldApart(t *testing.T) {
+	for _, outage := range []bool{true, false} {
+		t.Run(fmt.Sprint(outage), func(t *testing.T) {
+			runFleet(t, func(is *is.I, fl *testFleet) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				fl.store.Apply(batch(2, item("replica/a", "dc-1", 2)), time.Now())
+				time.Sleep(3 * time.Second)
+				for _, v := range fl.vms {
+					go v.ExpireReplicas(ctx)
+				}
+				cut, except := []int{0, 1, 2, 3, 4, 5, 6}, 0
+				if !outage {
+					cut, except = cut[:2], 2
+				}
+				fl.setFailed(fl.storeUnreachable, cut...)
+				time.Sleep(50 * time.Millisecond)
+				fl.store.Apply(batch(3, item("replica/a", "", 3)), time.Now())
+				if outage {
+					time.Sleep(6 * time.Second)
+					fl.setFailed(fl.storeUnreachable)
+					time.Sleep(1800 * time.Millisecond)
+				} else {
+					time.Sleep(3 * time.Second)
+				}
+				for _, v := range fl.vms[except:] {
+					is.Equal(len(v.State().View.Services["s"]) > 0, outage)
+				}
+			})
+		})
+	}
+}
+
 // testFleet is a store and the VMs that follow it. The index of a VM determines its sources. Each
 // VM has two watchers.
 type testFleet struct {
--- a/services/follower/states.go
+++ b/services/follower/states.go
@@ -30,6 +30,13 @@
 	st.failures[name] = f
 }
 
+// failedSince reports whether a source has failed after a time.
+func (st *sourceStates) failedSince(name string, at time.Time) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.failures[name].at.After(at)
+}
+
 func (st *sourceStates) use(index int, name string) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/services/follower/watcher.go
+++ b/services/follower/watcher.go
@@ -157,11 +157,19 @@
 	if !s.IsStore && b.Age > replicator.StaleAfter && f.Cache.Revision() > 0 {
 		return b.Cursor, errStale
 	}
-	f.Load(b, time.Now())
+	f.Load(f.noteStore(s, b), time.Now())
 	f.log.WithFields(logrus.Fields{"event": "snapshot", "source": s.Name, "revision": b.Revision, "items": len(b.Items), "age": b.Age.String()}).Info("snapshot read")
 	return b.Cursor, nil
 }
 
+// noteStore sets the StableFor of a batch of the store if the store has failed since the copy was fresh.
+func (f *Follower) noteStore(s NamedSource, b replicator.Batch) replicator.Batch {
+	if s.IsStore && f.sources.failedSince(s.Name, f.Cache.SyncedAt()) {
+		b.StableFor = 1
+	}
+	return b
+}
+
 func (w *watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		s, ok := w.pickSource(time.Now())
@@ -287,7 +295,7 @@
 			return err
 		}
 		now := time.Now()
-		w.follower.Apply(b, now)
+		w.follower.Apply(w.follower.noteStore(s, b), now)
 		after = b.Cursor
 		if !s.IsStore && b.Age > replicator.StaleAfter {
 			return errStale
--- a/services/relayer/codec.go
+++ b/services/relayer/codec.go
@@ -75,6 +75,8 @@
 	replyVerdicts protowire.Number = 3
 	// replyLeavers holds the replicas that have said that they leave.
 	replyLeavers protowire.Number = 4
+	// replyStable holds the milliseconds since the store answered again, rounded up.
+	replyStable protowire.Number = 5
 
 	batchRevision protowire.Number = 1
 	batchItem     protowire.Number = 3
@@ -154,6 +156,14 @@
 	zstdDecoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxBatch), zstd.WithDecoderLowmem(true))
 )
 
+// appendStable appends the StableFor of a batch.
+func appendStable(b []byte, stable time.Duration) []byte {
+	if stable <= 0 {
+		return b
+	}
+	return encoder.AppendVarint(b, replyStable, uint64(stable.Milliseconds()+1))
+}
+
 // appendReply appends the age of the data in a compressed batch, and the batch.
 func appendReply(b []byte, age time.Duration, batch []byte) []byte {
 	b = encoder.AppendVarint(b, replyAge, uint64(max(age, 0).Milliseconds()))
@@ -161,11 +171,13 @@
 }
 
 func decodeReply(b []byte) (out replicator.Batch, verdicts []reporter.Verdict, leavers []uint64, err error) {
-	var age time.Duration
+	var age, stable time.Duration
 	err = encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) (err error) {
 		switch num {
 		case replyAge:
 			age = boundedMilliseconds(v)
+		case replyStable:
+			stable = boundedMilliseconds(v)
 		case replyBatch:
 			plain, err := zstdDecoder.DecodeAll(raw, nil)
 			if err != nil {
@@ -180,6 +192,6 @@
 		}
 		return err
 	})
-	out.Age = age
+	out.Age, out.StableFor = age, stable
 	return out, verdicts, leavers, err
 }
--- a/services/relayer/relayer.go
+++ b/services/relayer/relayer.go
@@ -154,7 +154,7 @@
 	case err != nil:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	default:
-		reply := appendReply(nil, b.Age, s.compressed(q, b))
+		reply := appendStable(appendReply(nil, b.Age, s.compressed(q, b)), b.StableFor)
 		if s.Evidence != nil {
 			reply = encoder.AppendBytes(reply, replyVerdicts, reporter.AppendVerdicts(nil, s.Evidence.Evaluate(time.Now())))
 			reply = encoder.AppendBytes(reply, replyLeavers, reporter.AppendLeavers(nil, s.Evidence.RecentLeavers(time.Now())))
--- a/services/relayer/relayer_test.go
+++ b/services/relayer/relayer_test.go
@@ -53,6 +53,7 @@
 	is.Equal(len(b.Items), 2)
 	is.Equal(b.Revision, uint64(5))
 	is.True(b.Age < time.Second)
+	is.Equal(b.StableFor, time.Duration(0))
 	cursor := b.Cursor
 	done := make(chan replicator.Batch, 1)
 	go func() {
@@ -67,6 +68,13 @@
 	b, err = client.Changes(ctx, b.Cursor, time.Millisecond)
 	is.NoErr(err)
 	is.Equal(len(b.Items), 0)
+	// A VM that hears of an outage of the store tells its followers.
+	again := batch(7)
+	again.StableFor = time.Minute
+	c.Apply(again, time.Now())
+	b, err = client.Changes(ctx, b.Cursor, time.Millisecond)
+	is.NoErr(err)
+	is.True(b.StableFor >= time.Minute && b.StableFor < time.Minute+time.Second)
 }
 
 // TestStaleCopyAnswersAtOnce guards against a reader that is cut off from the store and lets its
--- a/services/replicator/replicator.go
+++ b/services/replicator/replicator.go
@@ -44,6 +44,9 @@
 	Cursor
 	// Age is the time since the store itself was last known to be at Revision.
 	Age time.Duration
+	// StableFor is the time since the store answered again after it had not answered a VM that read it;
+	// 0 if no such time is known.
+	StableFor time.Duration
 }
 
 // Source is the store or a VM that follows it.
@@ -82,6 +85,9 @@
 	revision uint64
 	// syncedAt is the last time at which the store was known to be at revision.
 	syncedAt time.Time
+	// stableSince is the last known time at which the store answered again after a failure; zero if none
+	// is known.
+	stableSince time.Time
 	// history holds the last changes by ascending revision. All changes after the revision
 	// compacted are in it.
 	history   []Item
@@ -176,6 +182,9 @@
 	if at := now.Add(-b.Age); at.After(c.syncedAt) {
 		c.syncedAt = at
 	}
+	if at := now.Add(-b.StableFor); b.StableFor > 0 && at.After(c.stableSince) {
+		c.stableSince = at
+	}
 	if len(changes) > 0 && c.changed != nil {
 		close(c.changed)
 		c.changed = nil
@@ -208,6 +217,22 @@
 	return c.syncedAt
 }
 
+// StableSince returns the last known time at which the store answered again after a failure; zero if none
+// is known.
+func (c *Cache) StableSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stableSince
+}
+
+// stableFor returns the StableFor of a Batch. It must be called with the lock held.
+func (c *Cache) stableFor() time.Duration {
+	if c.stableSince.IsZero() {
+		return 0
+	}
+	return max(time.Since(c.stableSince), 1)
+}
+
 // Snapshot implements Source.
 func (c *Cache) Snapshot(context.Context) (Batch, error) {
 	c.mu.Lock()
@@ -215,7 +240,7 @@
 	if c.items == nil {
 		return Batch{}, ErrNotReady
 	}
-	b := Batch{Cursor: Cursor{c.revision, c.epoch}, Age: time.Since(c.syncedAt)}
+	b := Batch{Cursor: Cursor{c.revision, c.epoch}, Age: time.Since(c.syncedAt), StableFor: c.stableFor()}
 	for _, it := range c.items {
 		b.Items = append(b.Items, it)
 	}
@@ -257,7 +282,7 @@
 		c.changed = make(chan struct{})
 	}
 	// The cursor of a follower that is ahead of this copy must not go back.
-	b := Batch{Cursor: Cursor{max(c.revision, after.Revision), c.epoch}, Age: time.Since(c.syncedAt)}
+	b := Batch{Cursor: Cursor{max(c.revision, after.Revision), c.epoch}, Age: time.Since(c.syncedAt), StableFor: c.stableFor()}
 	for _, it := range c.history {
 		if it.Revision > after.Revision {
 			b.Items = append(b.Items, it)
