Cold replicas get what they bear, also if all are cold

Each gets up to 16 requests in its first second where 11 are allowed, crashes again, and the service doesn't come out of it.

Cause: warmup_per_s only made a cold replica the last choice; nothing counted what it got.

Change: gatekeeper.Cold counts the requests to a cold replica within any second. The VMs divide what it may get by their rank among the members (State.Rank), gatherers among themselves; the VMs that get one more differ from replica to replica, so that the shares add up with more VMs than requests too. Used is three quarters of warmup_per_s x warmup_overshoot + warmup_slack, at least warmup_per_s: the rest is for VMs that don't know of each other yet. Without the two settings it is warmup_per_s. A VM that has restarted sends none for 2 s, a VM that is no gatherer sends none to cold shards. A request counts when it is sent, and again if it then waits over 50 ms for a connection; one answered 421, or not sent, doesn't count. What doesn't fit is refused at once as "replica-cold", with the time of the next turn as Retry-After.

The callers of bestReplica and closed in tests follow their new receivers.

--- a/modules/decider/decider.go
+++ b/modules/decider/decider.go
@@ -42,6 +42,9 @@
 	Leaving = "replica-leaving"
 	// Paused means that all replicas want no request for a while, or leave.
 	Paused = "replica-paused"
+	// Cold means that all replicas are cold and have got as many requests as they may for now, or want
+	// none.
+	Cold = "replica-cold"
 )
 
 const (
@@ -106,7 +109,7 @@
 	}
 	switch r.Gate {
 	case gatekeeper.Open:
-	case gatekeeper.Paused:
+	case gatekeeper.Paused, gatekeeper.Warming:
 		cost += pausedPenalty
 	case gatekeeper.Leaving:
 		cost += leavingPenalty
@@ -122,26 +125,28 @@
 		return Paused
 	case gatekeeper.Leaving:
 		return Leaving
+	case gatekeeper.Warming:
+		return Cold
 	case gatekeeper.Open:
 	}
 	return ""
 }
 
 // Closed returns why none of the replicas of a service takes requests at now, and the time after which
-// one is expected to: the earliest end of a pause, or the time that a replacement takes. The reason is
-// empty if one takes requests, or if there is none.
+// one is expected to: the earliest end of a pause or next turn at a cold replica, or the time that a
+// replacement takes. The reason is empty if one takes requests, or if there is none.
 func Closed(replicas []gatekeeper.Answer, now time.Time) (reason string, after time.Duration) {
 	for _, g := range replicas {
 		opens := replacementTime
 		switch g.State {
 		case gatekeeper.Open:
 			return "", 0
-		case gatekeeper.Paused:
+		case gatekeeper.Paused, gatekeeper.Warming:
 			if opens = DefaultRetryAfter; !g.Until.IsZero() {
 				opens = g.Until.Sub(now)
 			}
-			if reason != Paused || opens < after {
-				reason, after = Paused, opens
+			if reason == "" || reason == Leaving || opens < after {
+				reason, after = (&Replica{Gate: g.State}).closed(), opens
 			}
 		case gatekeeper.Leaving:
 			if reason == "" {
--- a/modules/gatekeeper/gatekeeper.go
+++ b/modules/gatekeeper/gatekeeper.go
@@ -32,17 +32,19 @@
 	Paused
 	// Leaving is the state of a replica that shuts down. It never ends.
 	Leaving
+	// Warming is the state of a cold replica that has got as many requests as it may for now.
+	Warming
 )
 
 // String returns the state in kebab case.
 func (s State) String() string {
-	return [...]string{"open", "paused", "leaving"}[s]
+	return [...]string{"open", "paused", "leaving", "warming"}[s]
 }
 
 // Answer is the answer to the question whether a replica may get a request now.
 type Answer struct {
 	State
-	// Until is the end of a pause. It is zero in the other states, and if the pause is over and the
+	// Until is the end of a pause, or the time of the next request to a cold replica. It is zero in the other states, and if the pause is over and the
 	// replica has as many requests as it may get after one.
 	Until time.Time
 }
--- a/modules/loader/loader_test.go
+++ b/modules/loader/loader_test.go
@@ -39,6 +39,8 @@
 	is.Equal(s.VM.LinkMbps, 1000.0)
 	is.Equal(s.VM.Cores, 0.4)
 	is.Equal(s.Bounds.RetryWindow, 10*time.Second)
+	is.Equal(s.Bounds.WarmupOvershoot, 1.5)
+	is.Equal(s.Bounds.WarmupSlack, 5.0)
 	is.Equal(len(s.Peers.Seeds), 1)
 	is.True(s.FirstStart)
 	for _, tc := range []struct{ name, old, new, want string }{
--- a/modules/loader/site.go
+++ b/modules/loader/site.go
@@ -45,6 +45,9 @@
 	// RetryWindow: RetryRatio times the number of requests to the service, plus RetrySlack.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// WarmupOvershoot and WarmupSlack limit the requests of all VMs to a cold replica within a second:
+	// WarmupOvershoot times its configured rate, plus WarmupSlack.
+	WarmupOvershoot, WarmupSlack float64
 	// Grace is the time between the request to stop and the forced termination.
 	Grace time.Duration
 }
@@ -119,9 +122,11 @@
 
 func (s *Bounds) section() section {
 	return section{
-		"retry-ratio":  number(&s.RetryRatio, 0, 10),
-		"retry-slack":  number(&s.RetrySlack, 0, maxSlack),
-		"retry-window": duration(&s.RetryWindow, time.Millisecond, maxDuration),
-		"grace":        duration(&s.Grace, time.Millisecond, maxDuration),
+		"retry-ratio":      number(&s.RetryRatio, 0, 10),
+		"retry-slack":      number(&s.RetrySlack, 0, maxSlack),
+		"retry-window":     duration(&s.RetryWindow, time.Millisecond, maxDuration),
+		"warmup-overshoot": number(&s.WarmupOvershoot, 0, maxSlack),
+		"warmup-slack":     number(&s.WarmupSlack, 0, maxSlack),
+		"grace":            duration(&s.Grace, time.Millisecond, maxDuration),
 	}
 }
--- a/modules/selector/selector.go
+++ b/modules/selector/selector.go
@@ -61,6 +61,23 @@
 	return false
 }
 
+// Rank returns the place of a gatherer among all of them in the order of their IDs, from 0. It is -1 for a
+// VM that is no gatherer.
+func (s *Selection) Rank(id string) int {
+	if !s.IsGatherer(id) {
+		return -1
+	}
+	rank := 0
+	for _, list := range s.ByDataCentre {
+		for _, v := range list {
+			if v.ID < id {
+				rank++
+			}
+		}
+	}
+	return rank
+}
+
 // Select chooses gatherers among vms for replicas that accept conns connections from all of them.
 // total is the number of VMs in the fleet, if it is larger than len(vms). The result depends only on
 // the arguments, not on the order of vms, so that VMs with the same view choose the same gatherers.
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -66,7 +66,7 @@
 	registry registrar.Registry
 	// evacuated holds the data centres that are out of service.
 	evacuated map[string]bool
-	vms       int
+	vms, rank int
 }
 
 // New returns a Follower with an empty Cache. Its State is nil until a configuration has been read.
@@ -84,12 +84,13 @@
 	return f.Cache.SyncedAt()
 }
 
-// SetVMs sets the number of VMs that share the limits, this one included.
-func (f *Follower) SetVMs(n int) {
+// SetVMs sets the number of VMs that share the limits, this one included, and the place of this VM among
+// them, from 0.
+func (f *Follower) SetVMs(n, rank int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if n != f.vms {
-		f.vms = n
+	if n != f.vms || rank != f.rank {
+		f.vms, f.rank = n, rank
 		f.publish()
 	}
 }
@@ -186,7 +187,7 @@
 		_, ok := f.table.Config.Services[service]
 		return ok
 	})
-	f.state.Store(&forwarder.State{Table: f.table, View: view, VMs: max(f.vms, 1)})
+	f.state.Store(&forwarder.State{Table: f.table, View: view, VMs: max(f.vms, 1), Rank: f.rank})
 }
 
 // ExpireReplicas removes the backend servers whose entries have been missing for too long. It runs
--- a/services/follower/follower_test.go
+++ b/services/follower/follower_test.go
@@ -83,7 +83,7 @@
 	is.True(f.State().View.Services["s"][0].Missing)
 	f.expire(now.Add(3 * time.Second))
 	is.Equal(replicas(), 0)
-	f.SetVMs(5)
+	f.SetVMs(5, 2)
 	is.Equal(f.State().VMs, 5)
 }
 
--- a/services/forwarder/attempt.go
+++ b/services/forwarder/attempt.go
@@ -18,6 +18,8 @@
 	hedge bool
 	// extra is the number of extra sends withdrawn from the budget.
 	extra float64
+	// cold is true if the replica's request rate is limited.
+	cold bool
 	// sent is the time at which the request was about to be written; zero if it was not written.
 	sent time.Time
 	// closed is true if the request was not written because the replica wants no more requests.
@@ -60,6 +62,11 @@
 		a.part.budget.Refund(a.extra, now)
 		return false
 	}
+	if a.cold && now.Sub(a.began) > maxColdWait && !a.fl.f.cold.Begin(a.to.Key, a.fl.coldLimit(a.part, a.to, now), now) {
+		a.closed = true
+		a.part.budget.Refund(a.extra, now)
+		return false
+	}
 	a.sent = now
 	return true
 }
@@ -79,6 +86,9 @@
 	if !a.sent.IsZero() {
 		run.Duration = now.Sub(a.sent)
 	}
+	if a.cold && (a.sent.IsZero() || (err == nil && reply.Misdirected)) {
+		fl.f.cold.Refund(a.to.Key, a.began)
+	}
 	fl.f.gate.End(a.to.Key, a.began, run.Outcome == ranker.Served, now)
 	change := fl.f.ranks.End(a.to.Key, a.part.work, run, now)
 	fl.f.logReplicaChange(a, change, err)
--- a/services/forwarder/choice_bench_test.go
+++ b/services/forwarder/choice_bench_test.go
@@ -22,7 +22,7 @@
 			now := time.Now()
 			b.ReportAllocs()
 			for b.Loop() {
-				p.bestReplica(f, nil, now)
+				(&flight{f: f}).bestReplica(p, nil, now)
 			}
 		})
 	}
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -35,8 +35,9 @@
 	list    []*registrar.Candidate
 	// conns is the number of connections that this VM may have to each replica.
 	conns int
-	// coldLimited is true when the request rate of cold replicas is limited.
-	coldLimited bool
+	// coldRate is the number of requests per second that a cold replica tolerates; 0 if there is no
+	// limit.
+	coldRate float64
 	// tried holds the IDs of the replicas that were sent this part.
 	tried []string
 	// attempts holds all attempts in the order in which they began.
@@ -61,7 +62,7 @@
 	done   bool
 	reason string
 	// roomAfter is the time after which there is room for the part at its replicas, if reason is
-	// decider.Saturated, decider.Paused or decider.Leaving.
+	// decider.Saturated, decider.Paused, decider.Leaving or decider.Cold.
 	roomAfter time.Duration
 	// notNeeded is set once the part needs no further reply. Senders read it from other
 	// goroutines.
@@ -120,12 +121,12 @@
 	for _, s := range services {
 		quota := fl.f.quota(fl.state, s, len(fl.route.Shards) > 0)
 		p := &part{
-			service:     s,
-			work:        ranker.Workload{Service: s, TargetLatency: fl.route.TargetLatency},
-			budget:      fl.f.budget(s, quota.slack, now),
-			list:        fl.state.View.Services[s],
-			conns:       quota.conns,
-			coldLimited: fl.state.Table.Config.Services[s].WarmupPerSecond > 0,
+			service:  s,
+			work:     ranker.Workload{Service: s, TargetLatency: fl.route.TargetLatency},
+			budget:   fl.f.budget(s, quota.slack, now),
+			list:     fl.state.View.Services[s],
+			conns:    quota.conns,
+			coldRate: fl.state.Table.Config.Services[s].WarmupPerSecond,
 		}
 		p.budget.Deposit(1, now)
 		fl.parts = append(fl.parts, p)
@@ -289,7 +290,7 @@
 // progress, it gives the part up.
 func (fl *flight) sendBest(p *part, hedge bool) {
 	now := time.Now()
-	fl.send(p, p.bestReplica(fl.f, p.tried, now), hedge, now)
+	fl.send(p, fl.bestReplica(p, p.tried, now), hedge, now)
 }
 
 // send is like sendBest for a replica that was already chosen.
@@ -311,7 +312,8 @@
 	if p.sent+p.inFlight > 0 {
 		extra = 1
 	}
-	if !fl.f.gate.Begin(c.Key, now) {
+	limited, ok := fl.begin(p, c, now)
+	if !ok {
 		// Another request has just taken the replica's turn.
 		p.budget.Refund(extra, now)
 		fl.sendBest(p, hedge)
@@ -319,7 +321,7 @@
 	}
 	fl.setWaiting(p, false)
 	p.tried = append(p.tried, c.ID)
-	a := &attempt{fl: fl, part: p, to: c, began: now, hedge: hedge, extra: extra}
+	a := &attempt{fl: fl, part: p, to: c, began: now, hedge: hedge, extra: extra, cold: limited}
 	p.attempts = append(p.attempts, a)
 	p.inFlight++
 	if !hedge && p.ran == 0 && fl.route.Idempotent && fl.route.MaxAttempts > 1 {
@@ -389,8 +391,8 @@
 
 func (fl *flight) giveUp(p *part, reason string) {
 	switch reason {
-	case decider.NoOther, decider.Refused, decider.Paused, decider.Leaving:
-		if closed, after := fl.f.closed(p.list, time.Now()); closed != "" {
+	case decider.NoOther, decider.Refused, decider.Paused, decider.Leaving, decider.Cold:
+		if closed, after := fl.closed(p, time.Now()); closed != "" {
 			reason, p.roomAfter = closed, after
 		}
 	}
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -31,6 +31,10 @@
 	// together.
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// WarmupOvershoot and WarmupSlack define the number of requests that a cold replica tolerates within
+	// a second, from all VMs together: WarmupOvershoot times its configured rate, plus WarmupSlack. If
+	// that is less than the rate, the rate is.
+	WarmupOvershoot, WarmupSlack float64
 	// FirstStart is true when no process of this VM has run before.
 	FirstStart bool
 	// CallerDelay is the one-way network delay between a VM and a caller.
@@ -84,7 +88,9 @@
 	backend Backend
 	ranks   ranker.Ranker
 	// gate holds what replicas have said about further requests.
-	gate            gatekeeper.Gatekeeper
+	gate gatekeeper.Gatekeeper
+	// cold limits the requests to cold replicas.
+	cold            gatekeeper.Cold
 	metrics         *metrics
 	log, routineLog *logrus.Logger
 	started         time.Time
--- a/services/forwarder/forwarder_test.go
+++ b/services/forwarder/forwarder_test.go
@@ -465,7 +465,7 @@
 		p.budget.Deposit(10, now)
 		p.budget.Spend(7, now)
 		p.sent, p.ran = 1, 1
-		c := p.bestReplica(f, nil, now)
+		c := (&flight{f: f}).bestReplica(p, nil, now)
 		is.Equal(fl.declineReason(p, c, false, now), decider.Reserved)
 		fl.giveUp(other, decider.Unhealthy)
 		is.Equal(fl.declineReason(p, c, false, now), "")
--- a/services/forwarder/notice.go
+++ b/services/forwarder/notice.go
@@ -93,12 +93,12 @@
 	return nil
 }
 
-// closed returns why none of the replicas in list takes requests, and the time after which one is
+// closed returns why none of the replicas of p takes requests, and the time after which one is
 // expected to. The reason is empty if one takes requests.
-func (f *Forwarder) closed(list []*registrar.Candidate, now time.Time) (reason string, after time.Duration) {
-	answers := make([]gatekeeper.Answer, len(list))
-	for i, c := range list {
-		answers[i] = f.gate.Ask(c.Key, now)
+func (fl *flight) closed(p *part, now time.Time) (reason string, after time.Duration) {
+	answers := make([]gatekeeper.Answer, len(p.list))
+	for i, c := range p.list {
+		answers[i] = fl.gate(p, c, now)
 	}
 	return decider.Closed(answers, now)
 }
@@ -113,5 +113,6 @@
 			}
 		}
 	}
+	f.cold.Prune(before)
 	f.gate.Prune(before, func(key string) bool { return known[key] })
 }
--- a/services/forwarder/notice_test.go
+++ b/services/forwarder/notice_test.go
@@ -163,6 +163,6 @@
 		a.sent = time.Time{}
 		is.True(!a.StillNeeded())
 		is.True(a.sent.IsZero() && a.closed)
-		is.Equal((decider.Attempt{Replica: (&part{list: f.states.State().View.Services["single"][:1]}).bestReplica(f, nil, time.Now()).Replica}).Decline(decider.Times{}), decider.Leaving)
+		is.Equal((decider.Attempt{Replica: fl.bestReplica(&part{list: f.states.State().View.Services["single"][:1]}, nil, time.Now()).Replica}).Decline(decider.Times{}), decider.Leaving)
 	})
 }
--- a/services/forwarder/policy.go
+++ b/services/forwarder/policy.go
@@ -15,7 +15,8 @@
 }
 
 // bestReplica returns the replica with the lowest cost that is not in tried.
-func (p *part) bestReplica(f *Forwarder, tried []string, now time.Time) choice {
+func (fl *flight) bestReplica(p *part, tried []string, now time.Time) choice {
+	f := fl.f
 	var best choice
 	var lowest time.Duration
 	for _, c := range p.list {
@@ -24,8 +25,8 @@
 		}
 		r := decider.Replica{
 			Estimate: f.ranks.Estimate(c.Key, c.Slots, p.work, now), Conns: p.conns, Missing: c.Missing,
-			Remote: c.DataCentre != f.cfg.DataCentre, LimitedCold: p.coldLimited && now.Before(c.ColdUntil),
-			Gate: f.gate.StateOf(c.Key, now),
+			Remote: c.DataCentre != f.cfg.DataCentre, LimitedCold: p.limitedCold(c, now),
+			Gate: fl.gate(p, c, now).State,
 		}
 		if cost := r.Cost(p.work.TargetLatency); best.Replica == nil || cost < lowest {
 			chosen := r // only the best ones are allocated
@@ -46,7 +47,7 @@
 	choices := make([]choice, len(fl.parts))
 	best := make([]*decider.Replica, len(fl.parts))
 	for i, p := range fl.parts {
-		choices[i] = p.bestReplica(fl.f, nil, now)
+		choices[i] = fl.bestReplica(p, nil, now)
 		best[i] = choices[i].Replica
 	}
 	need := decider.Need{MinParts: fl.minParts, MinViable: fl.minViable}
--- a/services/forwarder/responses.go
+++ b/services/forwarder/responses.go
@@ -54,7 +54,7 @@
 		case !p.done || p.reply != nil:
 		case p.reason == decider.Unhealthy:
 			outages = append(outages, fl.outageDuration(p, now))
-		case p.reason == decider.Saturated, p.reason == decider.Paused, p.reason == decider.Leaving:
+		case p.reason == decider.Saturated, p.reason == decider.Paused, p.reason == decider.Leaving, p.reason == decider.Cold:
 			outages = append(outages, p.roomAfter)
 		}
 	}
--- a/services/forwarder/types.go
+++ b/services/forwarder/types.go
@@ -171,6 +171,8 @@
 	View *registrar.View
 	// VMs is the number of VMs that share the limits, at least 1.
 	VMs int
+	// Rank is the place of this VM among them, from 0.
+	Rank int
 }
 
 // StateSource provides the current State.
--- a/services/launcher/fleet.go
+++ b/services/launcher/fleet.go
@@ -27,12 +27,15 @@
 	defer d.membersMu.Unlock()
 	members := d.gossip.Members()
 	d.provider.update(members)
-	n := 0
+	n, rank := 0, 0
 	for _, m := range members {
 		// A dead VM counts until it is removed from the members: it may only be partitioned from this VM
 		// and still use its share of the common limits.
 		if m.State != prober.Left {
 			n++
+			if m.ID < d.site.VM.ID {
+				rank++
+			}
 		}
 	}
 	n = max(n, len(d.site.Peers.Seeds))
@@ -42,7 +45,7 @@
 		members = appendRecorded(members, r.Fastest)
 	}
 	d.roster.Update(gatherCandidates(members), n)
-	d.follow.SetVMs(n)
+	d.follow.SetVMs(n, rank)
 }
 
 // appendRecorded appends the VMs of the fleet record that are not among the members.
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -160,7 +160,9 @@
 		SharedStats: &d.evidence,
 		Announce:    d.provider.broadcastLoss,
 
-		AnnounceLeaver: d.evidence.AddLeaver,
+		AnnounceLeaver:  d.evidence.AddLeaver,
+		WarmupOvershoot: site.Bounds.WarmupOvershoot,
+		WarmupSlack:     site.Bounds.WarmupSlack,
 	}, d.follow, &d.backend)
 	d.evidence.OnLeaver = d.forward.HandleLeaver
 	calls, err := gatherer.NewServer(gatherKeys, d, log)
