--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -58,15 +58,16 @@
 	// use and must not call the Follower, whose lock is held during the call.
 	OnFleetRecord func(it replicator.Item)
 
-	reads *prometheus.CounterVec
-	state atomic.Pointer[forwarder.State]
+	reads   *prometheus.CounterVec
+	sources sourceStates
+	state   atomic.Pointer[forwarder.State]
 
 	mu       sync.Mutex
 	table    *router.Table
 	registry registrar.Registry
 	// evacuated holds the data centres that are out of service.
 	evacuated map[string]bool
-	vms       int
+	vms, rank int
 }
 
 // New returns a Follower with an empty Cache. Its State is nil until a configuration has been read.
@@ -84,39 +85,51 @@
 	return f.Cache.SyncedAt()
 }
 
-// SetVMs sets the number of VMs that share the limits, this one included.
-func (f *Follower) SetVMs(n int) {
+// SetVMs sets the number of VMs that share the limits, this one included, and the place of this VM among
+// them, from 0.
+func (f *Follower) SetVMs(n, rank int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if n != f.vms {
-		f.vms = n
+	if n != f.vms || rank != f.rank {
+		f.vms, f.rank = n, rank
 		f.publish()
 	}
 }
 
 // Load applies a snapshot of the store.
 func (f *Follower) Load(b replicator.Batch, now time.Time) {
-	f.applyChanges(f.Cache.Load(b, now), now)
+	synced := f.Cache.SyncedAt()
+	f.applyChanges(f.Cache.Load(b, now), synced, now)
 }
 
 // Apply applies changes of the store.
 func (f *Follower) Apply(b replicator.Batch, now time.Time) {
-	f.applyChanges(f.Cache.Apply(b, now), now)
+	synced := f.Cache.SyncedAt()
+	f.applyChanges(f.Cache.Apply(b, now), synced, now)
 }
 
-func (f *Follower) applyChanges(changes []replicator.Item, now time.Time) {
+// applyChanges applies changes to a copy that was complete at the time synced.
+func (f *Follower) applyChanges(changes []replicator.Item, synced, now time.Time) {
 	if len(changes) == 0 {
 		return
 	}
+	removedAt := synced
+	if at := f.Cache.StableSince(); at.After(synced) {
+		removedAt = at
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, it := range changes {
-		f.applyItem(it, now)
+		f.applyItem(it, removedAt)
 	}
+	f.sweep(now)
 	f.publish()
 }
 
-func (f *Follower) applyItem(it replicator.Item, now time.Time) {
+// applyItem applies one change. removedAt is the earliest time at which the grace period of an entry that
+// is gone may begin: the last time at which the copy is known to have had it, or the store's return if that
+// is later.
+func (f *Follower) applyItem(it replicator.Item, removedAt time.Time) {
 	switch kind, name := f.decoder.ParseKey(it.Key); kind {
 	case ConfigKey:
 		f.applyConfig(it)
@@ -128,7 +141,7 @@
 		}
 		f.log.WithFields(logrus.Fields{"event": "evacuation", "data-centre": name, "out": !it.Removed, "revision": it.Revision}).Info("data centre taken out of service or put back")
 	case ReplicaKey:
-		f.applyReplica(name, it, now)
+		f.applyReplica(name, it, removedAt)
 	case FleetKey:
 		if f.OnFleetRecord != nil {
 			f.OnFleetRecord(it)
@@ -158,10 +171,10 @@
 	f.log.WithFields(fields).Info("new configuration in force")
 }
 
-func (f *Follower) applyReplica(id string, it replicator.Item, now time.Time) {
+func (f *Follower) applyReplica(id string, it replicator.Item, removedAt time.Time) {
 	fields := logrus.Fields{"event": "replica", "id": id, "revision": it.Revision}
 	if it.Removed {
-		f.registry.MarkMissing(id, now)
+		f.registry.MarkMissing(id, removedAt)
 		f.log.WithFields(fields).Info("backend server entry removed")
 		return
 	}
@@ -186,7 +199,7 @@
 		_, ok := f.table.Config.Services[service]
 		return ok
 	})
-	f.state.Store(&forwarder.State{Table: f.table, View: view, VMs: max(f.vms, 1)})
+	f.state.Store(&forwarder.State{Table: f.table, View: view, VMs: max(f.vms, 1), Rank: f.rank})
 }
 
 // ExpireReplicas removes the backend servers whose entries have been missing for too long. It runs
@@ -207,10 +220,18 @@
 func (f *Follower) expire(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.sweep(now) {
+		f.publish()
+	}
+}
+
+// sweep removes the backend servers whose entries have been missing for too long, and reports whether there
+// were any. It must be called with the lock held.
+func (f *Follower) sweep(now time.Time) bool {
 	removed := f.registry.Sweep(now)
 	if len(removed) == 0 {
-		return
+		return false
 	}
 	f.log.WithFields(logrus.Fields{"event": "replica-gone", "ids": removed}).Info("backend servers removed because their entries were missing for too long")
-	f.publish()
+	return true
 }
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -31,6 +31,10 @@
 	// together.
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// WarmupOvershoot and WarmupSlack define the number of requests that a cold replica tolerates within
+	// a second, from all VMs together: WarmupOvershoot times its configured rate, plus WarmupSlack. If
+	// that is less than the rate, the rate is.
+	WarmupOvershoot, WarmupSlack float64
 	// FirstStart is true when no process of this VM has run before.
 	FirstStart bool
 	// CallerDelay is the one-way network delay between a VM and a caller.
@@ -84,7 +88,9 @@
 	backend Backend
 	ranks   ranker.Ranker
 	// gate holds what replicas have said about further requests.
-	gate            gatekeeper.Gatekeeper
+	gate gatekeeper.Gatekeeper
+	// cold limits the requests to cold replicas.
+	cold            gatekeeper.Cold
 	metrics         *metrics
 	log, routineLog *logrus.Logger
 	started         time.Time
@@ -133,8 +139,8 @@
 	if m == nil {
 		return f.withRecord(nil, r, Response{Status: http.StatusNotFound}, outcomeNoRoute)
 	}
-	fp := fingerprint(r)
-	if f.quarantined(fp, r.Arrived) {
+	id := identify(r)
+	if f.quarantined(id, r.Arrived) {
 		return f.withRecord(nil, r, notRunResponse(0), outcomeQuarantined)
 	}
 	callerTimeout := r.CallerTimeout
@@ -146,16 +152,16 @@
 	}
 	timeUsed := f.timeUsed(m.Route, r, callerTimeout)
 	fl := &flight{
-		f:           f,
-		state:       state,
-		route:       m.Route,
-		r:           r,
-		ctx:         ctx,
-		deadline:    r.Arrived.Add(min(callerTimeout, m.Timeout)),
-		target:      r.Arrived.Add(m.TargetLatency - timeUsed),
-		timeUsed:    timeUsed,
-		fingerprint: fp,
-		stopping:    f.stopping,
+		f:        f,
+		state:    state,
+		route:    m.Route,
+		r:        r,
+		ctx:      ctx,
+		deadline: r.Arrived.Add(min(callerTimeout, m.Timeout)),
+		target:   r.Arrived.Add(m.TargetLatency - timeUsed),
+		timeUsed: timeUsed,
+		identity: id,
+		stopping: f.stopping,
 	}
 	if f.stop.Load() != nil {
 		fl.endWithVM()
@@ -204,11 +210,6 @@
 	return Response{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter}
 }
 
-// fingerprint returns the same value for requests that look identical to a replica.
-func fingerprint(r *Request) quarantiner.Fingerprint {
-	return quarantiner.FingerprintOf(r.Method+" "+r.Host+r.Target, r.Body)
-}
-
 // budget returns the budget of extra sends to a service. slack is this VM's share of the slack that
 // all VMs have in addition to the ratio.
 func (f *Forwarder) budget(service string, slack float64, now time.Time) *budgeter.Window {
