--- a/tests/soak/history.go
+++ b/tests/soak/history.go
@@ -16,6 +16,14 @@
 	search kind = iota
 	read
 	write
+	// long requests are sent by patient callers; their answers are large.
+	long
+)
+
+const (
+	// lossSlack is the time after which a request that a VM has read counts as lost if its connection
+	// ends without an answer, although it was not forwarded.
+	lossSlack = 200 * time.Millisecond
 )
 
 // request is a request of a caller with its answer.
@@ -36,8 +44,14 @@
 	// missing is the number of missing parts that the answer reports.
 	missing int
 	answer  string
-	// unanswered is true once the connection has ended without an answer.
+	// ended is the time of the answer or of the end of the connection.
+	ended time.Time
+	// unanswered is true once the connection has ended without a complete answer.
 	unanswered bool
+	// left is true if the caller stopped waiting, as the soak was over.
+	left bool
+	// readWith is true if the request was sent together with one before it that got an answer.
+	readWith bool
 }
 
 // arrival is a request that a server received.
@@ -49,8 +63,33 @@
 	body           string
 	// executed is false if the server refused the request.
 	executed bool
+	// leaving and pause are what the server says in its answer about further requests.
+	leaving bool
+	pause   time.Duration
+}
+
+// notice is what a server has said to a VM about further requests.
+type notice struct {
+	// leftAt is when a caller had an answer that says that the server leaves; zero if none had.
+	leftAt time.Time
+	pauses []pause
 }
 
+// pause is a time in which a VM must send hardly any requests to a server.
+type pause struct {
+	interval
+	arrivals int
+}
+
+const (
+	// pauseDelay is the time after the start of a pause within which any number of requests may arrive.
+	pauseDelay = 500 * time.Millisecond
+	// maxPauseArrivals is the number of requests that may arrive in the rest of a pause.
+	maxPauseArrivals = 2
+	// linkCalmTime is the time without a fault of a link after which an answer is sure to arrive at once.
+	linkCalmTime = 3 * time.Second
+)
+
 // history records what callers and servers observe. It is checked while the soak runs.
 type history struct {
 	mu       sync.Mutex
@@ -60,7 +99,11 @@
 	byService map[string][]arrival
 	// processFaults lists, by VM, the intervals in which its process was killed or paused.
 	processFaults map[string][]interval
-	violations    []string
+	// stops lists, by VM, the times at which it got SIGTERM.
+	stops map[string][]time.Time
+	// notices holds what servers have said, by the IDs of the server and the VM.
+	notices    map[[2]string]*notice
+	violations []string
 }
 
 // interval is the time that a fault lasts; end is zero until it is over.
@@ -82,6 +125,27 @@
 	}
 }
 
+// recordStop records that a VM gets SIGTERM.
+func (b *history) recordStop(vm string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stops[vm] = append(b.stops[vm], time.Now())
+}
+
+// describe returns when a request was sent and ended, after the last SIGTERM of its VM, and its arrivals
+// with the time after it was sent. The caller must hold b.mu.
+func (b *history) describe(q *request) string {
+	text := fmt.Sprintf("%s %s at %s lasted %.2f s", q.method, q.target, q.vm, q.ended.Sub(q.sent).Seconds())
+	if list := b.stops[q.vm]; len(list) > 0 {
+		last := list[len(list)-1]
+		text += fmt.Sprintf(", sent %.2f s and ended %.2f s after SIGTERM", q.sent.Sub(last).Seconds(), q.ended.Sub(last).Seconds())
+	}
+	for _, a := range b.arrivals[q.id] {
+		text += fmt.Sprintf(", %s after %.2f s", a.server.id, a.at.Sub(q.sent).Seconds())
+	}
+	return text
+}
+
 // runningSince reports whether a VM's process has run without a fault since the given time. The caller
 // must hold b.mu.
 func (b *history) runningSince(vm string, since time.Time) bool {
@@ -113,7 +177,7 @@
 }
 
 func newHistory() *history {
-	return &history{requests: make(map[string]*request), arrivals: make(map[string][]arrival), byService: make(map[string][]arrival), processFaults: make(map[string][]interval)}
+	return &history{requests: make(map[string]*request), arrivals: make(map[string][]arrival), byService: make(map[string][]arrival), processFaults: make(map[string][]interval), stops: make(map[string][]time.Time), notices: make(map[[2]string]*notice)}
 }
 
 // addViolation records a violated guarantee.
@@ -151,10 +215,55 @@
 	if a.executed {
 		b.checkRun(q, a)
 	}
+	if q.kind != search { // parts of a search may be sent by another VM
+		b.checkNotices(q, a)
+	}
 	b.arrivals[a.id] = append(b.arrivals[a.id], a)
 	b.byService[a.server.service] = append(b.byService[a.server.service], a)
 }
 
+// checkNotices checks that an arrival respects what its server has said to the VM. A restart, kill or pause
+// of the VM, or a fault of the server's link, excuses it. The caller must hold b.mu.
+func (b *history) checkNotices(q *request, a arrival) {
+	key := [2]string{a.server.id, q.vm}
+	n := b.notices[key]
+	if n == nil {
+		n = &notice{}
+		b.notices[key] = n
+	}
+	if !n.leftAt.IsZero() && q.sent.After(n.leftAt.Add(drainTime)) && b.undisturbedSince(q.vm, n.leftAt) {
+		b.addViolationLocked("leaving server: %s got request %s, sent %v after an answer from it that said so", a.server.id, b.describe(q), q.sent.Sub(n.leftAt))
+	}
+	for i := range n.pauses {
+		p := &n.pauses[i]
+		if !a.at.After(p.begin.Add(pauseDelay)) || !a.at.Before(p.end) {
+			continue
+		}
+		if p.arrivals++; p.arrivals > maxPauseArrivals && b.undisturbedSince(q.vm, p.begin) && a.server.proxy.calmSince(p.begin.Add(-linkCalmTime)) {
+			b.addViolationLocked("paused server: %s got request %s, %v after it asked for a pause of %v", a.server.id, b.describe(q), a.at.Sub(p.begin), p.end.Sub(p.begin))
+		}
+	}
+	if a.pause > 0 {
+		n.pauses = append(n.pauses, pause{interval: interval{a.at, a.at.Add(a.pause)}})
+	}
+}
+
+// undisturbedSince reports whether a VM was neither stopped, killed nor paused since the given time. The
+// caller must hold b.mu.
+func (b *history) undisturbedSince(vm string, since time.Time) bool {
+	return b.runningSince(vm, since) && !slices.ContainsFunc(b.stops[vm], func(at time.Time) bool { return at.After(since) })
+}
+
+// recordLeaving records that a caller has an answer of a server that says that it leaves. The caller must
+// hold b.mu.
+func (b *history) recordLeaving(q *request, ran []arrival) {
+	for _, a := range ran {
+		if n := b.notices[[2]string{a.server.id, q.vm}]; a.leaving && n != nil && n.leftAt.IsZero() && slices.Contains(q.stamps, a.server.stamp(q.id)) {
+			n.leftAt = q.ended
+		}
+	}
+}
+
 // checkRun checks the execution of a request against its answer and its earlier executions: none after
 // a refusal, one for a write, at most maxAttempts at each service. The caller must hold b.mu.
 func (b *history) checkRun(q *request, a arrival) {
@@ -192,14 +301,18 @@
 	}
 	switch {
 	case q.unanswered && len(b.arrivals[q.id]) > 0 && b.runningSince(q.vm, q.sent):
-		b.addViolationLocked("lost: request %s was forwarded by %s, whose process was running, and got no answer", q.id, q.vm)
+		b.addViolationLocked("lost: request %s was forwarded by %s, whose process was running, and got no answer: %s", q.id, q.vm, b.describe(q))
+	case q.unanswered && q.readWith && q.ended.Sub(q.sent) > lossSlack && b.runningSince(q.vm, q.sent):
+		b.addViolationLocked("lost: request %s was read with the one before it, which was answered, and dropped: %s", q.id, b.describe(q))
 	case refused(q.status) && len(ran) > 0:
 		b.addViolationLocked("refused after execution: request %s, status %d, executed at %s", q.id, q.status, ran[0].server.id)
 	case q.status == http.StatusOK && q.kind == search:
 		b.checkGather(q, ran)
 	case q.status == http.StatusOK:
 		b.checkSingle(q, ran)
+		b.recordLeaving(q, ran)
 	}
+	q.answer = ""
 }
 
 // checkSingle checks that a successful answer is the complete answer of the server whose stamp it
--- a/tests/soak/server.go
+++ b/tests/soak/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -19,11 +20,22 @@
 	shed, fail, reset, truncate, unsolicited float64
 	// delay is added to the time of each execution.
 	delay time.Duration
+	// lose sends nothing after the execution, while the connection stays open.
+	lose bool
+	// leaving is said in all answers.
+	leaving bool
+	// pause is asked for in a refusal of each request; 0 refuses none.
+	pause time.Duration
+	// slow multiplies the time of each execution; 0 leaves it as it is.
+	slow float64
 }
 
 const (
 	// meanWorkTime is the mean time of an execution.
 	meanWorkTime = 3 * time.Millisecond
+	// meanLongTime and maxLongTime are the mean and the maximum time of an execution of a long request.
+	meanLongTime = 220 * time.Millisecond
+	maxLongTime  = 1300 * time.Millisecond
 	// recordsPerPart is the number of records in a part, recordSize the length of a record in bytes.
 	recordsPerPart = 3
 	recordSize     = 16
@@ -72,9 +84,23 @@
 	for i := range rolls {
 		rolls[i] = s.rng.Float64()
 	}
-	after := time.Duration(s.rng.ExpFloat64()*float64(meanWorkTime)) + t.delay
+	work := s.rng.ExpFloat64()
 	s.mu.Unlock()
-	a := arrival{server: s, at: time.Now(), id: g.Header.Get("Request-Id"), method: g.Method, target: g.Target, body: string(g.Body)}
+	after := time.Duration(work * float64(meanWorkTime))
+	if s.service == longService {
+		after = min(time.Duration(work*float64(meanLongTime)), maxLongTime)
+	}
+	after = time.Duration(float64(after)*max(t.slow, 1)) + t.delay
+	a := arrival{server: s, at: time.Now(), id: g.Header.Get("Request-Id"), method: g.Method, target: g.Target, body: string(g.Body), leaving: t.leaving, pause: t.pause}
+	var notice []string
+	if t.leaving {
+		notice = append(notice, "Server-Leaving: 1")
+	}
+	if t.pause > 0 {
+		s.history.recordArrival(a)
+		notice = append(notice, "Not-Executed: 1", fmt.Sprintf("Retry-After: %.3f", t.pause.Seconds()))
+		return site.Reply{Raw: site.Status(g, http.StatusServiceUnavailable, "", notice...)}
+	}
 	if rolls[0] < t.shed {
 		s.history.recordArrival(a)
 		return site.Reply{Raw: site.Status(g, http.StatusServiceUnavailable, "", "Not-Executed: 1")}
@@ -82,6 +108,8 @@
 	a.executed = true
 	s.history.recordArrival(a)
 	switch {
+	case t.lose:
+		return site.Reply{Delay: after}
 	case rolls[1] < t.fail:
 		return site.Reply{Raw: site.Status(g, http.StatusInternalServerError, "failed", "Server-Stamp: "+s.stamp(a.id)), Delay: after}
 	case rolls[2] < t.reset:
@@ -89,7 +117,7 @@
 	case rolls[3] < t.truncate:
 		return site.Reply{Raw: []byte("HTTP/1.1 200 OK\r\nServer-Stamp: " + s.stamp(a.id) + "\r\nContent-Length: 100\r\n\r\nshort"), Delay: after, Close: true}
 	}
-	raw := site.Status(g, http.StatusOK, s.answer(a.id), "Server-Stamp: "+s.stamp(a.id))
+	raw := site.Status(g, http.StatusOK, s.answer(a.id), append(notice, "Server-Stamp: "+s.stamp(a.id))...)
 	r := site.Reply{Raw: raw, Delay: after}
 	if rolls[4] < t.unsolicited {
 		r.Unsolicited = raw
@@ -108,5 +136,25 @@
 		sum := sha256.Sum256(fmt.Appendf(nil, "%s %s %d", id, s.id, i))
 		out.WriteString(fmt.Sprintf("%x", sum[:recordSize/2]))
 	}
+	if s.service == longService {
+		return strings.Repeat(out.String(), longAnswerSize(id)/out.Len())
+	}
 	return out.String()
 }
+
+// largePrefix begins the IDs of long requests whose answers are often large.
+const largePrefix = "large-"
+
+// longAnswerSize returns the approximate size in bytes of the answer to a long request. The largest
+// answers exceed what the buffers of a connection hold.
+func longAnswerSize(id string) int {
+	sum := sha256.Sum256([]byte(id))
+	n, large := int(binary.BigEndian.Uint32(sum[1:])), strings.HasPrefix(id, largePrefix)
+	switch {
+	case large && sum[0] < 64:
+		return 4 << 20
+	case large && sum[0] < 128 || sum[0] < 16:
+		return 200<<10 + n%(400<<10)
+	}
+	return 3<<10 + n%(15<<10)
+}
