--- a/services/relayer/codec.go
+++ b/services/relayer/codec.go
@@ -87,6 +87,8 @@
 	replyLeavers protowire.Number = 4
 	// replyLoss holds a loss of a replica.
 	replyLoss protowire.Number = 5
+	// replyStable holds the milliseconds since the store answered again, rounded up.
+	replyStable protowire.Number = 6
 
 	lossAge    protowire.Number = 1
 	lossReport protowire.Number = 2
@@ -169,6 +171,14 @@
 	zstdDecoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxBatch), zstd.WithDecoderLowmem(true))
 )
 
+// appendStable appends the StableFor of a batch.
+func appendStable(b []byte, stable time.Duration) []byte {
+	if stable <= 0 {
+		return b
+	}
+	return encoder.AppendVarint(b, replyStable, uint64(stable.Milliseconds()+1))
+}
+
 // appendReply appends the age of the data in a compressed batch, and the batch.
 func appendReply(b []byte, age time.Duration, batch []byte) []byte {
 	b = encoder.AppendVarint(b, replyAge, uint64(max(age, 0).Milliseconds()))
@@ -212,11 +222,13 @@
 
 // decodeReply decodes a reply that was received at now.
 func decodeReply(b []byte, now time.Time) (r reply, err error) {
-	var age time.Duration
+	var age, stable time.Duration
 	err = encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) (err error) {
 		switch num {
 		case replyAge:
 			age = boundedMilliseconds(v)
+		case replyStable:
+			stable = boundedMilliseconds(v)
 		case replyBatch:
 			plain, err := zstdDecoder.DecodeAll(raw, nil)
 			if err != nil {
@@ -237,6 +249,6 @@
 		}
 		return err
 	})
-	r.batch.Age = age
+	r.batch.Age, r.batch.StableFor = age, stable
 	return r, err
 }
