--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -65,7 +65,7 @@
 		list = stopFaults
 	}
 	if h.cfg.Notices {
-		list = slices.Concat(list, []fault{leaveServer, leaveServer, pauseServer, pauseServer, pauseServer})
+		list = slices.Concat(list, []fault{leaveServer, leaveServer, pauseServer, pauseServer, pauseServer, sendStrayRefusals, sendStrayRefusals})
 	}
 	end := time.Now().Add(h.cfg.FaultDuration)
 	for time.Now().Before(end) {
@@ -200,6 +200,28 @@
 	}
 }
 
+// sendStrayRefusals makes the servers of single requests send refusals that name no request after some answers.
+func sendStrayRefusals(h *harness, rng *rand.Rand, lasts time.Duration) (string, func()) {
+	h.mu.Lock()
+	var hit []*server
+	for _, s := range h.servers {
+		if slices.Contains(services[write], s.service) {
+			hit = append(hit, s)
+		}
+	}
+	h.mu.Unlock()
+	t := serverFaults{strayRefusal: 0.1 + 0.4*rng.Float64()}
+	return fmt.Sprintf("%d servers: %+v", len(hit), t), func() {
+		for _, s := range hit {
+			s.setFaults(t)
+		}
+		time.Sleep(lasts)
+		for _, s := range hit {
+			s.setFaults(serverFaults{})
+		}
+	}
+}
+
 // reuseAddress crashes a server whose address is then taken over by a server of another service. With
 // probability 0.5 the entry of the crashed server is still in the store at that time.
 func reuseAddress(h *harness, rng *rand.Rand, _ time.Duration) (string, func()) {
--- a/tests/soak/harness.go
+++ b/tests/soak/harness.go
@@ -61,7 +61,7 @@
 	// Stops adds planned stops and signals in series, slow servers, lost answers, and the callers that
 	// these concern: patient ones, slow readers, and some that send two requests at once.
 	Stops bool
-	// Notices adds servers that say that they leave or want a pause.
+	// Notices adds servers that say that they leave or want a pause, and refusals that name no request.
 	Notices bool
 	// Strict also checks the promised time limits. Without it the limits are lenient, so that load on
 	// the machine does not fail the soak.
--- a/tests/soak/server.go
+++ b/tests/soak/server.go
@@ -22,6 +22,8 @@
 	delay time.Duration
 	// lose sends nothing after the execution, while the connection stays open.
 	lose bool
+	// strayRefusal is the probability that a refusal that names no request follows the answer.
+	strayRefusal float64
 	// leaving is said in all answers.
 	leaving bool
 	// pause is asked for in a refusal of each request; 0 refuses none.
@@ -119,12 +121,18 @@
 	}
 	raw := site.Status(g, http.StatusOK, s.answer(a.id), append(notice, "Server-Stamp: "+s.stamp(a.id))...)
 	r := site.Reply{Raw: raw, Delay: after}
-	if rolls[4] < t.unsolicited {
+	switch {
+	case rolls[4] < t.unsolicited:
 		r.Unsolicited = raw
+	case rolls[4] < t.strayRefusal:
+		r.Unsolicited = strayRefusal
 	}
 	return r
 }
 
+// strayRefusal is a refusal that belongs to no request.
+var strayRefusal = []byte("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+
 func (s *server) stamp(id string) string {
 	return id + "." + s.id
 }
