Soak: a restart excuses a request to a replica that leaves, not the SIGTERM before it

The trace: vm-2 got SIGTERM, passed that answer on 3.3 s later, ended 2.2 s after that and started again; the new process knew nothing, asked the server once 2.0 s after its start and learned from the answer. vm-3 likewise. The rule excuses a restart since the answer.

Cause: the check looked for a SIGTERM since the answer, which was before it here. It now looks for a start of the process since the answer. That is as the rule says, and stricter for a VM that is still stopping.

Not changed: the other checks.

--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -299,6 +299,7 @@
 	v.mu.Lock()
 	v.up = false
 	v.mu.Unlock()
+	h.history.recordStart(v.id)
 	if err := v.Start(h.cfg.Bin, h.dir, h.logs.newWriter()); err != nil {
 		h.history.addViolation("soak: %s failed to start: %v", v.id, err)
 	}
--- a/tests/soak/history.go
+++ b/tests/soak/history.go
@@ -101,6 +101,8 @@
 	processFaults map[string][]interval
 	// stops lists, by VM, the times at which it got SIGTERM.
 	stops map[string][]time.Time
+	// starts holds, by VM, the time before its last process was started again.
+	starts map[string]time.Time
 	// notices holds what servers have said, by the IDs of the server and the VM.
 	notices    map[[2]string]*notice
 	violations []string
@@ -132,6 +134,13 @@
 	b.stops[vm] = append(b.stops[vm], time.Now())
 }
 
+// recordStart records that a VM's process is started again.
+func (b *history) recordStart(vm string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.starts[vm] = time.Now()
+}
+
 // describe returns when a request was sent and ended, after the last SIGTERM of its VM, and its arrivals
 // with the time after it was sent. The caller must hold b.mu.
 func (b *history) describe(q *request) string {
@@ -177,7 +186,7 @@
 }
 
 func newHistory() *history {
-	return &history{requests: make(map[string]*request), arrivals: make(map[string][]arrival), byService: make(map[string][]arrival), processFaults: make(map[string][]interval), stops: make(map[string][]time.Time), notices: make(map[[2]string]*notice)}
+	return &history{requests: make(map[string]*request), arrivals: make(map[string][]arrival), byService: make(map[string][]arrival), processFaults: make(map[string][]interval), stops: make(map[string][]time.Time), starts: make(map[string]time.Time), notices: make(map[[2]string]*notice)}
 }
 
 // addViolation records a violated guarantee.
@@ -248,10 +257,10 @@
 	}
 }
 
-// undisturbedSince reports whether a VM was neither stopped, killed nor paused since the given time. The
+// undisturbedSince reports whether a VM was neither restarted, killed nor paused since the given time. The
 // caller must hold b.mu.
 func (b *history) undisturbedSince(vm string, since time.Time) bool {
-	return b.runningSince(vm, since) && !slices.ContainsFunc(b.stops[vm], func(at time.Time) bool { return at.After(since) })
+	return b.runningSince(vm, since) && b.starts[vm].Before(since)
 }
 
 // recordLeaving records that a caller has an answer of a server that says that it leaves. The caller must
