--- a/modules/gatekeeper/gatekeeper.go
+++ b/modules/gatekeeper/gatekeeper.go
@@ -44,8 +44,8 @@
 // Answer is the answer to the question whether a replica may get a request now.
 type Answer struct {
 	State
-	// Until is the end of a pause, or the time of the next request to a cold replica. It is zero in the other states, and if the pause is over and the
-	// replica has as many requests as it may get after one.
+	// Until is the end of a pause, or the time of the next request to a cold replica. It is zero in the
+	// other states, and if the pause is over and the replica has as many requests as it may get after one.
 	Until time.Time
 }
 
--- a/modules/merger/merger.go
+++ b/modules/merger/merger.go
@@ -11,8 +11,8 @@
 const RecordSize = 16
 
 // Top returns the n greatest records of all parts in descending order. Records are compared
-// byte by byte, and duplicates are kept. There
-// are fewer if the parts hold fewer. An incomplete record at the end of a part is ignored.
+// byte by byte, and duplicates are kept. There are fewer than n if the parts hold fewer. An incomplete
+// record at the end of a part is ignored.
 func Top(parts [][]byte, n int) []byte {
 	records := 0
 	for _, p := range parts {
--- a/services/launcher/launcher_test.go
+++ b/services/launcher/launcher_test.go
@@ -284,8 +284,7 @@
 	}
 }
 
-// TestRefusalAsTheVMLeaves checks that a request that a stopping VM refuses in its last second is logged as
-// well.
+// TestRefusalAsTheVMLeaves checks that a request that a stopping VM refuses is logged as well.
 func TestRefusalAsTheVMLeaves(t *testing.T) {
 	vm := start(t)
 	vm.d.refusing.Store(true)
--- a/services/launcher/sources.go
+++ b/services/launcher/sources.go
@@ -22,8 +22,8 @@
 	// readerCount is the number of VMs that read the store; the other VMs follow them.
 	readerCount = 2
 	// standbyCount is the number of standby readers, which read the store as soon as no reader answers
-	// or all are stale. The other VMs then follow the standby readers, and read the store themselves only if that
-	// fails.
+	// or all are stale. The other VMs then follow the standby readers, and read the store themselves only
+	// if that fails.
 	standbyCount = 2
 	// hubCount is the number of VMs of each data centre that follow the readers, in a fleet of more than
 	// hubThreshold VMs. The other VMs of the data centre follow these hubs, as traffic between data
