--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -105,9 +105,9 @@
 	// durations holds how long requests have lasted by route name.
 	durations map[string]*durations
 
-	// stopping is closed once stop is set.
-	stopping chan struct{}
+	// stop is nil until Stop is called. stopping is closed then, which wakes the requests in progress.
 	stop     atomic.Pointer[stopTimes]
+	stopping chan struct{}
 }
 
 // New returns a Forwarder.
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -96,11 +96,12 @@
 	evidence reporter.Evidence
 	// membersMu serializes updateMembers.
 	membersMu sync.Mutex
-	stopping  atomic.Bool
-	// refusing is true once the VM refuses new requests.
-	refusing atomic.Bool
+	// stop is closed by Stop. stopping is true once the shutdown has begun: the VM is not ready, and
+	// takes only requests that it can answer before its end. refusing is true once it takes none.
 	stop     chan struct{}
 	stopOnce sync.Once
+	stopping atomic.Bool
+	refusing atomic.Bool
 	// cut counts the requests that got no whole answer, by reason.
 	cut *prometheus.CounterVec
 	// acceptPauses counts the seconds in which a listener accepted no connections for a moment.
