--- a/services/forwarder/policy.go
+++ b/services/forwarder/policy.go
@@ -26,7 +26,10 @@
 		r := decider.Replica{
 			Estimate: f.ranks.Estimate(c.Key, c.Slots, p.work, now), Conns: p.conns, Missing: c.Missing,
 			Remote: c.DataCentre != f.cfg.DataCentre, LimitedCold: p.limitedCold(c, now),
-			Gate: fl.gate(p, c, now).State,
+			Gate: f.gate.StateOf(c.Key, now),
+		}
+		if r.LimitedCold {
+			r.Gate = fl.gate(p, c, now).State
 		}
 		if cost := r.Cost(p.work.TargetLatency); best.Replica == nil || cost < lowest {
 			chosen := r // only the best ones are allocated
