--- a/modules/decider/decider.go
+++ b/modules/decider/decider.go
@@ -38,7 +38,7 @@
 	MayHaveRun = "may-have-run"
 	// NoAnswer means that there can be no response because of other parts.
 	NoAnswer = "no-answer-without-others"
-	// Leaving means that all replicas have said that they leave, or that they want a pause.
+	// Leaving means that all replicas have said that they leave.
 	Leaving = "replica-leaving"
 	// Paused means that all replicas want no request for a while, or leave.
 	Paused = "replica-paused"
