--- a/review/casestand2/main.go
+++ b/review/casestand2/main.go
@@ -26,6 +26,8 @@
 type caseFunc func(r *record, trouble bool) error
 
 var cases = map[string]caseFunc{
+	"failback": playFailback,
+
 	"poison": playPoison,
 }
 
