--- a/review/casestand2/main.go
+++ b/review/casestand2/main.go
@@ -27,6 +27,7 @@
 
 var cases = map[string]caseFunc{
 	"failback": playFailback,
+	"reborn":   playReborn,
 
 	"poison": playPoison,
 }
