--- a/review/casestand2/main.go
+++ b/review/casestand2/main.go
@@ -26,10 +26,10 @@
 type caseFunc func(r *record, trouble bool) error
 
 var cases = map[string]caseFunc{
-	"failback": playFailback,
-	"reborn":   playReborn,
-
-	"poison": playPoison,
+	"failback":  playFailback,
+	"reborn":    playReborn,
+	"late-beat": playLateBeat,
+	"poison":    playPoison,
 }
 
 func main() {
