--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the second review start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -trimpath -o target/ ./review/casestand2
+GOFLAGS= go build -trimpath -tags review -o target/ ./review/casestand2
--- a/review/casestand2/main.go
+++ b/review/casestand2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command casestand2 runs the scripted cases of the second review: it starts VMs as separate processes on stand-ins of
 // the users' platform, disturbs them, and checks one rule from what callers and replicas have seen.
 package main
@@ -30,6 +32,7 @@
 	"reborn":    playReborn,
 	"late-beat": playLateBeat,
 	"poison":    playPoison,
+	"silent":    playSilent,
 }
 
 func main() {
--- a/review/casestand2/poison.go
+++ b/review/casestand2/poison.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -56,38 +58,46 @@
 	for _, p := range others {
 		p.crashAt(r, &log)
 	}
-	var poison []string
+	stop := s.comeAgain(poisonInterval)
+	s.play(36*time.Second, perSecond, func(at func(time.Duration)) {
+		if !trouble {
+			return
+		}
+		at(8 * time.Second)
+		s.store.Put("op/config", config(8, otherService, 0))
+		r.addf("operator: version 8 moves the route to %s", otherService)
+	})
+	poison := stop()
+	s.caller.write(r)
+	s.writeRuns(r)
+	return s.checkPoison(r, log.all(), poison)
+}
+
+// comeAgain sends a request with poisonPath each interval, to one VM after the other, until stop is called, which
+// returns the IDs of these requests.
+func (s *stage) comeAgain(interval time.Duration) (stop func() []string) {
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	comesAgain := make(chan struct{})
+	done := make(chan []string)
 	go func() {
-		defer close(comesAgain)
-		ticker := time.NewTicker(poisonInterval)
+		var ids []string
+		ticker := time.NewTicker(interval)
 		defer ticker.Stop()
 		for n := 0; ; n++ {
 			select {
 			case <-ctx.Done():
+				done <- ids
 				return
 			case <-ticker.C:
 				id := fmt.Sprintf("poison-%03d", n)
-				poison = append(poison, id)
+				ids = append(ids, id)
 				s.caller.send(s.fleet.vms[n%len(s.fleet.vms)], id, http.MethodGet, host, poisonPath, http.NoBody, 1500*time.Millisecond)
 			}
 		}
 	}()
-	s.play(36*time.Second, perSecond, func(at func(time.Duration)) {
-		if !trouble {
-			return
-		}
-		at(8 * time.Second)
-		s.store.Put("op/config", config(8, otherService, 0))
-		r.addf("operator: version 8 moves the route to %s", otherService)
-	})
-	cancel()
-	<-comesAgain
-	s.caller.write(r)
-	s.writeRuns(r)
-	return s.checkPoison(r, log.all(), poison)
+	return func() []string {
+		cancel()
+		return <-done
+	}
 }
 
 // crashAt makes the replica crash whenever it begins to run a request with poisonPath. It is back after backAfter.
--- a/review/casestand2/replica.go
+++ b/review/casestand2/replica.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -36,8 +38,10 @@
 	store   *site.Store
 	// crashes reports whether the replica crashes when it begins to run a request; nil for never.
 	crashes func(req *http.Request) bool
-	work    time.Duration
-	slots   int
+	// silent is closed at the end of a crash during which the replica neither reads nor answers; nil if it runs.
+	silent chan struct{}
+	work   time.Duration
+	slots  int
 	// warmup is the time for which the replica is cold.
 	warmup time.Duration
 
@@ -94,7 +98,7 @@
 	}
 	r.addr = ln.Addr().(*net.TCPAddr).AddrPort()
 	r.born, r.sequence, r.draining, r.last = time.Now().UnixMilli(), 0, false, ""
-	r.running, r.waiting = 0, 0
+	r.running, r.waiting, r.silent = 0, 0, nil
 	r.free = make(chan struct{}, r.slots)
 	if cold {
 		r.coldUntil = time.Now().Add(r.warmup)
@@ -117,6 +121,25 @@
 	_ = srv.Close()
 }
 
+// fallSilent makes the replica neither read nor answer from now on, and crash after d. It reports false if it already
+// is silent.
+func (r *replica) fallSilent(d time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.silent != nil {
+		return false
+	}
+	silent := make(chan struct{})
+	r.silent = silent
+	stop := r.stopBeats
+	stop()
+	time.AfterFunc(d, func() {
+		r.crash()
+		close(silent)
+	})
+	return true
+}
+
 // beats writes the entry at the start and at each heartbeat after phase.
 func (r *replica) beats(ctx context.Context) {
 	r.beat()
@@ -170,6 +193,11 @@
 func (r *replica) serve(w http.ResponseWriter, req *http.Request) {
 	now := time.Now()
 	r.mu.Lock()
+	if silent := r.silent; silent != nil {
+		r.mu.Unlock()
+		<-silent
+		return
+	}
 	cold, leaving := now.Before(r.coldUntil), r.draining
 	left := r.coldUntil.Sub(now)
 	full := r.running+r.waiting >= r.slots*queueFactor
