Settings: memory of the VM, from which the limit of the heap follows

Cause: the limits on what a process holds were constants for the smallest VM, as the settings did not say how much memory a process may have.

Change: vm.memory-mb, filled in from limits.memory_mb. rationer.Divide splits it between the heap, clients, replies and connections.

Nothing but the limit of the heap depends on it yet.

--- a/cmd/ebonylockd/serve_platform.go
+++ b/cmd/ebonylockd/serve_platform.go
@@ -13,14 +13,10 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/ebonylock/ebonylock/modules/loader"
+	"github.com/ebonylock/ebonylock/modules/rationer"
 	"github.com/ebonylock/ebonylock/services/launcher"
 )
 
-// memoryLimit is the soft memory limit of the Go runtime, in bytes. It is below the memory of the
-// smallest VM, so that the garbage collector frees memory during a burst before the VM kills the
-// process.
-const memoryLimit = 120 << 20
-
 func servePlatformCommand() *cli.Command {
 	return &cli.Command{
 		Name:   "serve-platform",
@@ -42,7 +38,8 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(memoryLimit)
+	// The garbage collector frees memory during a burst before the VM kills the process.
+	debug.SetMemoryLimit(rationer.Divide(int64(site.VM.MemoryMB) * rationer.MiB).Heap)
 	stops := make(chan os.Signal, 1)
 	// From here on a signal must not kill the process, as callers connect as soon as New has bound its
 	// addresses.
--- a/modules/loader/loader_test.go
+++ b/modules/loader/loader_test.go
@@ -38,6 +38,7 @@
 	is.NoErr(err)
 	is.Equal(s.VM.LinkMbps, 1000.0)
 	is.Equal(s.VM.Cores, 0.4)
+	is.Equal(s.VM.MemoryMB, 284)
 	is.Equal(s.Bounds.RetryWindow, 10*time.Second)
 	is.Equal(s.Bounds.WarmupOvershoot, 1.5)
 	is.Equal(s.Bounds.WarmupSlack, 5.0)
--- a/modules/loader/vm.go
+++ b/modules/loader/vm.go
@@ -12,6 +12,8 @@
 	Cores float64
 	// Descriptors is the number of file descriptors that a process on the VM may have, 0 if unknown.
 	Descriptors int
+	// MemoryMB is the memory in MiB above which the platform kills a process on the VM, 0 if unknown.
+	MemoryMB int
 }
 
 func (s *VM) section() section {
@@ -21,5 +23,6 @@
 		"link-mbps":   number(&s.LinkMbps, 0, 1<<20),
 		"cores":       number(&s.Cores, 0, 1<<10),
 		"descriptors": number(&s.Descriptors, 0, 1<<30),
+		"memory-mb":   number(&s.MemoryMB, 0, 1<<30),
 	}
 }
