Callers: unfinished requests of all connections share a limit that follows from the VM's memory

What callers saw: a VM of the users' platform ended, killed for its memory, while clients that it does not control kept many connections open with requests that stop just short of their end.

Cause: each connection kept what it had received in the event loop's buffer, up to the limits on head and body, chunk framing included. Only the number of descriptors bounded the sum: 3,000 connections x 256 KiB on a VM of 284 MiB. The framing was bounded by nothing: each byte of a body could have a line of extensions, and a trailer had no end. Each piece that arrived was parsed from the start of the request.

Change: rationer.Pool counts what all connections hold, an eighth of the memory. When it is used up, the connections that hold most for each byte they have lately moved are refused with 503 and Retry-After, which is true as nothing of theirs was sent on; requests that are being served are not touched. The first 8 KiB of a connection are free, so that ordinary requests always have room, and the number of connections and the kernel's buffers follow from the memory instead. A request is parsed as it arrives (intake), and only its content is kept. Lines of chunks and trailers are limited. Bytes read ahead count too; without room, the connection gets the answer that it waits for and is closed.

Why it works: what a connection can hold outside the pool is fixed, and their number is limited, so the sum no longer depends on the limits on requests.

--- a/Makefile
+++ b/Makefile
@@ -26,12 +26,13 @@
 
 test: lint vet build unit
 
-# The whole path comes last and alone, as its processes share the machine.
+# What starts processes comes last and alone, as these share the machine.
 unit:
 	@grep -v '^#' KNOWN-RED.txt | sed 's/^/known red, passed over: /' || true
-	$(GO) test -race -count=1 -timeout 20m $(SKIP) $$($(GO) list ./... | grep -v -e /tests/path -e /tests/soak)
+	$(GO) test -race -count=1 -timeout 20m $(SKIP) $$($(GO) list ./... | grep -v -e /tests/path -e /tests/soak -e /tests/crowd)
 	$(GO) test -race -count=1 -timeout 20m $(SKIP) ./tests/path
 	$(GO) test -race -count=1 -timeout 20m $(SKIP) ./tests/soak
+	$(GO) test -count=1 -timeout 20m $(SKIP) ./tests/crowd
 
 lint:
 	@unformatted=$$($(GO) tool gofumpt -l cmd modules platform routers services tests tools); \
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -18,6 +18,7 @@
 	"github.com/ebonylock/ebonylock/modules/loader"
 	"github.com/ebonylock/ebonylock/modules/prober"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
+	"github.com/ebonylock/ebonylock/modules/rationer"
 	"github.com/ebonylock/ebonylock/modules/reporter"
 	"github.com/ebonylock/ebonylock/modules/router"
 	"github.com/ebonylock/ebonylock/modules/selector"
@@ -72,12 +73,14 @@
 
 // Daemon is a running VM.
 type Daemon struct {
-	site      loader.Site
-	log       *logrus.Logger
-	spool     *spooler.Spooler
-	backend   replica.Client
-	follow    *follower.Follower
-	forward   *forwarder.Forwarder
+	site    loader.Site
+	log     *logrus.Logger
+	spool   *spooler.Spooler
+	backend replica.Client
+	follow  *follower.Follower
+	forward *forwarder.Forwarder
+	// clients is the memory that callers and other VMs make this VM hold.
+	clients   rationer.Pool
 	callers   *requester.Listener
 	readiness *readier.Server
 	metrics   *exposer.Server
@@ -118,6 +121,8 @@
 // no request.
 func New(site loader.Site, out io.Writer) (*Daemon, error) {
 	d := &Daemon{site: site, spool: &spooler.Spooler{Out: out}, stop: make(chan struct{}), started: time.Now()}
+	shares := rationer.Divide(int64(site.VM.MemoryMB) * rationer.MiB)
+	d.clients.Limit = shares.Clients
 	d.cut = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "ebonylock", Name: "requests_cut_total", Help: "Requests that got no whole answer, by reason.",
 	}, []string{"reason"})
@@ -182,10 +187,16 @@
 		return nil, err
 	}
 	d.metrics.OnAcceptError = d.acceptPaused(metricsListener)
-	if d.callers, err = requester.Listen(site.Requests.Listen, d); err != nil {
+	d.callers, err = requester.Config{
+		Addr:          site.Requests.Listen,
+		Memory:        &d.clients,
+		MaxConns:      maxCallers(site.VM.Descriptors, shares),
+		MaxBacklog:    shares.MaxBacklog(),
+		ReceiveBuffer: rationer.ReceiveBuffer,
+	}.Listen(d)
+	if err != nil {
 		return nil, err
 	}
-	d.callers.LimitConns(maxCallers(site.VM.Descriptors))
 	return d, nil
 }
 
@@ -214,6 +225,12 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: "ebonylock", Name: "replica_connections", Help: "Open connections to replicas.",
 		}, func() float64 { return float64(d.backend.Connections()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: "ebonylock", Name: "client_memory_bytes", Help: "Memory held for callers and other VMs beyond the share of each connection.",
+		}, func() float64 { return float64(d.clients.Used()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: "ebonylock", Name: "client_memory_revoked_total", Help: "Connections and requests refused because the memory for clients ran out.",
+		}, func() float64 { return float64(d.clients.RevokedCount()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "ebonylock", Name: "log_lines_dropped_total", Help: "Log lines dropped for volume.",
 		}, func() float64 { return float64(d.spool.Dropped()) }),
--- a/tests/fleet/fleet.go
+++ b/tests/fleet/fleet.go
@@ -51,6 +51,10 @@
 	Work time.Duration
 	// RunLimit is the VMs' limit on a run. With 0, their default is used.
 	RunLimit time.Duration
+	// MemoryMB is the memory in MiB that the VMs' settings state; 0 states none.
+	MemoryMB int
+	// Descriptors limits the file descriptors of the VMs' processes; 0 keeps the limit of this process.
+	Descriptors int
 	// Log receives the output of the processes.
 	Log io.Writer
 }
@@ -214,16 +218,20 @@
 	if f.cfg.RunLimit > 0 {
 		limits = fmt.Sprintf(`{"run-limit": %q}`, f.cfg.RunLimit)
 	}
+	memory := ""
+	if f.cfg.MemoryMB > 0 {
+		memory = fmt.Sprintf(`, "memory-mb": %d`, f.cfg.MemoryMB)
+	}
 	return fmt.Appendf(nil, `{
 	// written by the test fleet
-	"vm": {"id": %q, "data-centre": %q},
+	"vm": {"id": %q, "data-centre": %q%s},
 	"callers": {"listen": %q},
 	"operators": {"listen": %q, "tokens": [{"name": "tester", "sha256": %q}]},
 	"fleet": {"gossip": %q, "link": %q, "keys": [%q]},
 	"platform": {"store": %q, "vm-list": %q},
 	"limits": %s,
 	"log": {"level": "info"},
-}`, vm.ID, vm.DataCentre, vm.Callers, vm.Operators, hex.EncodeToString(sum[:]), vm.Gossip, vm.Link, fleetKey, f.Store, f.List, limits)
+}`, vm.ID, vm.DataCentre, memory, vm.Callers, vm.Operators, hex.EncodeToString(sum[:]), vm.Gossip, vm.Link, fleetKey, f.Store, f.List, limits)
 }
 
 // MarkLeaving marks a backend server as leaving in the platform's list.
@@ -262,7 +270,7 @@
 
 // StartVM starts a VM's process. It does not wait until the VM is ready.
 func (f *Fleet) StartVM(vm *VM) error {
-	cmd := exec.Command(filepath.Join(f.cfg.Bin, "ebonylockd"), "serve", "--settings", "-")
+	cmd := limitDescriptors(f.cfg.Descriptors, filepath.Join(f.cfg.Bin, "ebonylockd"), "serve", "--settings", "-")
 	cmd.Stdin = bytes.NewReader(vm.settings)
 	cmd.Stdout, cmd.Stderr = f.cfg.Log, f.cfg.Log
 	if err := cmd.Start(); err != nil {
@@ -278,6 +286,19 @@
 	return nil
 }
 
+// limitDescriptors returns a command whose process may have n file descriptors; 0 keeps the limit of this process.
+func limitDescriptors(n int, command ...string) *exec.Cmd {
+	if n > 0 {
+		command = append([]string{"sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$@"`, n), "sh"}, command...)
+	}
+	return exec.Command(command[0], command[1:]...)
+}
+
+// PID returns the ID of the VM's process.
+func (vm *VM) PID() int {
+	return vm.cmd.Process.Pid
+}
+
 // WaitReady waits until all given VMs are ready. It returns an error after startTimeout.
 func (f *Fleet) WaitReady(vms ...*VM) error {
 	deadline := time.Now().Add(startTimeout)
--- a/tests/fleet/site.go
+++ b/tests/fleet/site.go
@@ -28,6 +28,19 @@
 // slowReply is the time that a replica takes for a slow request.
 const slowReply = time.Second
 
+// BigReply is the size in bytes of the body of a reply to a request for a path that ends in "/big".
+const BigReply = 2 << 20
+
+// Limits are the operator's limits on callers' requests.
+type Limits struct {
+	// MaxHeader and MaxBody are in bytes.
+	MaxHeader, MaxBody         int
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// defaultLimits are the limits of a SiteFleet after its start.
+var defaultLimits = Limits{MaxHeader: 4096, MaxBody: 4096, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
 // SiteFleet is a set of VMs on stand-ins of the users' platform. The VMs are separate processes, the
 // stand-ins run in this process.
 type SiteFleet struct {
@@ -35,6 +48,9 @@
 	VMs      []*SiteVM
 	replicas []*site.Replica
 	dir      string
+	// maxConns is the number of connections that a replica of a shard accepts, 0 for no limit, and
+	// configs the number of configurations written.
+	maxConns, configs int
 }
 
 // SiteVM is a VM that runs as a separate process on stand-ins of the users' platform.
@@ -44,9 +60,11 @@
 	Store netip.AddrPort
 	// Descriptors limits the file descriptors of the process; 0 keeps the limit of this process.
 	Descriptors int
-	host        netip.Addr
-	cmd         *exec.Cmd
-	done        chan error
+	// MemoryMB is the memory in MiB that the settings state; 0 states none.
+	MemoryMB int
+	host     netip.Addr
+	cmd      *exec.Cmd
+	done     chan error
 	// started is true once the VM's process was started for the first time.
 	started bool
 }
@@ -62,6 +80,21 @@
 	return netip.AddrPortFrom(vm.host, portRequests).String()
 }
 
+// Readiness returns the address of the listener for the load balancer.
+func (vm *SiteVM) Readiness() string {
+	return netip.AddrPortFrom(vm.host, portReadiness).String()
+}
+
+// MetricsAddr returns the address of the listener for metrics.
+func (vm *SiteVM) MetricsAddr() string {
+	return netip.AddrPortFrom(vm.host, portMetrics).String()
+}
+
+// PID returns the ID of the VM's process.
+func (vm *SiteVM) PID() int {
+	return vm.cmd.Process.Pid
+}
+
 // Link returns the address of the listener for other VMs, which is the first one that a VM binds.
 func (vm *SiteVM) Link() string {
 	return netip.AddrPortFrom(vm.host, portPeers).String()
@@ -88,8 +121,9 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &SiteFleet{Store: store, dir: dir}
-	if err := f.addReplicas(maxConns); err != nil {
+	f := &SiteFleet{Store: store, dir: dir, maxConns: maxConns}
+	f.SetLimits(defaultLimits)
+	if err := f.addReplicas(); err != nil {
 		f.Kill()
 		return nil, err
 	}
@@ -108,18 +142,32 @@
 	return f, nil
 }
 
-func (f *SiteFleet) addReplicas(maxConns int) error {
+// SetLimits writes a new version of the configuration, with the given limits, to the store.
+func (f *SiteFleet) SetLimits(l Limits) {
+	f.configs++
+	f.Store.Put("op/config", fmt.Appendf(nil, `{"version":%[2]d,"routes":[
+		{"name":"search","hostname":"h.example","path_prefix":"/search/","type":"idempotent","timeout_ms":5000,"target_latency_ms":1000,"max_attempts":2,"gather":["a","b"],"top_k":3,"min_shard_share":1},
+		{"name":"write","hostname":"h.example","path_prefix":"/write/","type":"non_idempotent","timeout_ms":5000,"target_latency_ms":1000,"max_attempts":2,"service":"c"}],
+		"services":[{"name":"a","max_connections":%[1]d},{"name":"b","max_connections":%[1]d}],
+		"limits":{"max_header_bytes":%[3]d,"max_body_bytes":%[4]d,"header_timeout_ms":%[5]d,"idle_timeout_ms":%[6]d}}`,
+		f.maxConns, f.configs, l.MaxHeader, l.MaxBody, l.HeaderTimeout.Milliseconds(), l.IdleTimeout.Milliseconds()))
+}
+
+func (f *SiteFleet) addReplicas() error {
 	for _, id := range []string{"a-1", "a-2", "b-1", "b-2", "c-1", "c-2"} {
 		r, err := site.NewReplica(func(g site.Request) site.Reply {
 			delay := time.Millisecond
+			body := strings.Repeat(id[:1], 16)
 			var fields []string
 			switch {
+			case strings.HasSuffix(g.Target, "/big"):
+				body = strings.Repeat(id[:1], BigReply)
 			case strings.HasSuffix(g.Target, "/slow"):
 				delay = slowReply
 			case strings.HasSuffix(g.Target, "/leave"):
 				fields = append(fields, "Server-Leaving: 1")
 			}
-			return site.Reply{Raw: site.OK(g, strings.Repeat(id[:1], 16), fields...), Delay: delay}
+			return site.Reply{Raw: site.OK(g, body, fields...), Delay: delay}
 		})
 		if err != nil {
 			return err
@@ -127,11 +175,6 @@
 		f.replicas = append(f.replicas, r)
 		f.Store.Put("servers/"+id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"dc-%s","version":"v1","slots":2,"state":"ready","warmup_left_ms":0,"sequence":1}`, id[:1], r.Addr(), id[2:]))
 	}
-	f.Store.Put("op/config", fmt.Appendf(nil, `{"version":1,"routes":[
-		{"name":"search","hostname":"h.example","path_prefix":"/search/","type":"idempotent","timeout_ms":5000,"target_latency_ms":1000,"max_attempts":2,"gather":["a","b"],"top_k":3,"min_shard_share":1},
-		{"name":"write","hostname":"h.example","path_prefix":"/write/","type":"non_idempotent","timeout_ms":5000,"target_latency_ms":1000,"max_attempts":2,"service":"c"}],
-		"services":[{"name":"a","max_connections":%[1]d},{"name":"b","max_connections":%[1]d}],
-		"limits":{"max_header_bytes":4096,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, maxConns))
 	return nil
 }
 
@@ -139,21 +182,21 @@
 func (vm *SiteVM) Start(bin, dir string, log io.Writer) error {
 	file := filepath.Join(dir, vm.ID+".jsonc")
 	at := func(port uint16) string { return netip.AddrPortFrom(vm.host, port).String() }
-	text := fmt.Appendf(nil, `{"vm": {"id": %q, "data-centre": %q},
+	memory := ""
+	if vm.MemoryMB > 0 {
+		memory = fmt.Sprintf(`, "memory-mb": %d`, vm.MemoryMB)
+	}
+	text := fmt.Appendf(nil, `{"vm": {"id": %q, "data-centre": %q%s},
 		"requests": {"listen": %q, "readiness": %q, "metrics": %q},
 		"peers": {"gossip": %q, "link": %q, "keys": [%q], "seeds": [%q]},
 		"bounds": {"retry-ratio": 0.2, "retry-slack": 54, "retry-window": "10s", "grace": "6s"},
 		"store": %q, "first-start": %t}`,
-		vm.ID, vm.DataCentre, at(portRequests), at(portReadiness), at(portMetrics), at(portPeers), at(portPeers), fleetKey,
+		vm.ID, vm.DataCentre, memory, at(portRequests), at(portReadiness), at(portMetrics), at(portPeers), at(portPeers), fleetKey,
 		netip.AddrPortFrom(siteHost(0), portPeers), vm.Store, !vm.started)
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		return err
 	}
-	command := []string{filepath.Join(bin, "ebonylockd"), "serve-platform", "--settings", file}
-	if vm.Descriptors > 0 {
-		command = append([]string{"sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$@"`, vm.Descriptors), "sh"}, command...)
-	}
-	vm.cmd = exec.Command(command[0], command[1:]...)
+	vm.cmd = limitDescriptors(vm.Descriptors, filepath.Join(bin, "ebonylockd"), "serve-platform", "--settings", file)
 	vm.cmd.Stdout, vm.cmd.Stderr = log, log
 	if err := vm.cmd.Start(); err != nil {
 		return err
@@ -166,7 +209,7 @@
 
 // Metrics returns the VM's metrics in text format.
 func (vm *SiteVM) Metrics() (string, error) {
-	w, err := http.Get("http://" + netip.AddrPortFrom(vm.host, portMetrics).String() + "/metrics")
+	w, err := http.Get("http://" + vm.MetricsAddr() + "/metrics")
 	if err != nil {
 		return "", err
 	}
@@ -203,7 +246,7 @@
 // connection for each check.
 func (vm *SiteVM) Ready(timeout time.Duration) bool {
 	c := http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	w, err := c.Get("http://" + netip.AddrPortFrom(vm.host, portReadiness).String() + "/-/readiness")
+	w, err := c.Get("http://" + vm.Readiness() + "/-/readiness")
 	if err != nil {
 		return false
 	}
