--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -122,7 +122,7 @@
 func New(site loader.Site, out io.Writer) (*Daemon, error) {
 	d := &Daemon{site: site, spool: &spooler.Spooler{Out: out}, stop: make(chan struct{}), started: time.Now()}
 	shares := rationer.Divide(int64(site.VM.MemoryMB) * rationer.MiB)
-	d.clients.Limit = shares.Clients
+	d.clients.Limit, d.backend.MaxReplyMemory = shares.Clients, shares.Replies
 	d.cut = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "ebonylock", Name: "requests_cut_total", Help: "Requests that got no whole answer, by reason.",
 	}, []string{"reason"})
