--- a/tests/crowd/callers_test.go
+++ b/tests/crowd/callers_test.go
@@ -157,3 +157,14 @@
 		})
 	}
 }
+
+// TestStalledCallersUseUpDescriptors guards against callers that keep all connections, each with a part of a
+// request, from those that come after them.
+func TestStalledCallersUseUpDescriptors(t *testing.T) {
+	const descriptors = 200
+	vm := startVM(t, descriptors)
+	m := measure(vm.PID(), vm.Callers())
+	send(t, m, repeat(3*descriptors, vm.Callers(), "GET /write/x HTTP/1.1\r\n"))
+	checkOrdinary(t, vm, "/write/x")
+	m.check(t, descriptors)
+}
