Own interface: callers and operators share the memory for clients, and make room for each other

What callers saw: an entry VM ended, out of memory, while many clients sent requests that stop short of their end to the address for callers, or plans without a token to that for operators.

Cause: the HTTP server took memory for a whole body as soon as its length was announced, per connection and without a bound on their number; operators' bodies also before the token was checked. Once descriptors ran out, new callers waited until stalled connections timed out. A whole query was copied for each backend server that it went to, and its decoding took three times its size.

Change: bouncer.Listener accepts every connection and closes the one that has not moved for longest; busy ones stay. What a connection holds draws on the pool of its process. Bodies are read as they arrive, operators' after the token. As many bodies as there are processors are decoded at once, and the request to a backend server shares the query's bytes. serve sets the limit of the heap as serve-platform does. Listeners limit the kernel's buffers (accepter.Listen).

Why it works: what is read and not yet answered is counted where it is read, whatever the server does with it.

--- a/cmd/ebonylockd/serve.go
+++ b/cmd/ebonylockd/serve.go
@@ -4,10 +4,12 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/ebonylock/ebonylock/modules/rationer"
 	"github.com/ebonylock/ebonylock/services/runner"
 )
 
@@ -25,6 +27,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(rationer.Divide(int64(s.VM.MemoryMB) * rationer.MiB).Heap)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	signals := make(chan os.Signal, 2)
--- a/modules/executor/http.go
+++ b/modules/executor/http.go
@@ -56,13 +56,25 @@
 	Partitions []string `json:"partitions"`
 }
 
+// wireRequest is a request without its body.
 type wireRequest struct {
-	ID         string          `json:"request-id"`
-	Service    string          `json:"service"`
-	Generation uint64          `json:"generation,omitempty"`
-	Body       json.RawMessage `json:"body"`
-	Deadline   int64           `json:"deadline-unix-ms"`
-	Idempotent bool            `json:"idempotent"`
+	ID         string `json:"request-id"`
+	Service    string `json:"service"`
+	Generation uint64 `json:"generation,omitempty"`
+	Deadline   int64  `json:"deadline-unix-ms"`
+	Idempotent bool   `json:"idempotent"`
+}
+
+// encode returns the encoded request in parts. The body is not copied, as many requests share it.
+func (w wireRequest) encode(body []byte) ([][]byte, error) {
+	b, err := json.Marshal(w)
+	if err != nil {
+		return nil, err
+	}
+	if len(body) == 0 {
+		body = []byte("null")
+	}
+	return [][]byte{append(b[:len(b)-1], `,"body":`...), body, []byte("}")}, nil
 }
 
 type wireReply struct {
@@ -113,12 +125,15 @@
 		ID:         r.ID,
 		Service:    r.Service,
 		Generation: r.Generation,
-		Body:       r.Body,
 		Deadline:   r.Deadline.UnixMilli(),
 		Idempotent: r.Idempotent,
 	}
+	parts, err := in.encode(r.Body)
+	if err != nil {
+		return Reply{}, notRun(err)
+	}
 	var out wireReply
-	code, err := c.runs.Do(fasthttp.MethodPost, runPath, in, &out, r.Deadline)
+	code, err := c.runs.DoParts(fasthttp.MethodPost, runPath, parts, &out, r.Deadline)
 	if err != nil {
 		return Reply{}, classify(err)
 	}
--- a/modules/fetcher/fetcher.go
+++ b/modules/fetcher/fetcher.go
@@ -2,8 +2,10 @@
 package fetcher
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"time"
@@ -69,7 +71,12 @@
 			return 0, oops.Wrapf(err, "encode request")
 		}
 	}
-	code, reply, err := c.Raw(method, path, "application/json", body, deadline)
+	return c.DoParts(method, path, [][]byte{body}, out, deadline)
+}
+
+// DoParts is like Do with an encoded body that is the concatenation of parts.
+func (c *Client) DoParts(method, path string, parts [][]byte, out any, deadline time.Time) (int, error) {
+	code, reply, err := c.send(method, path, "application/json", parts, deadline)
 	if err != nil || out == nil || code == fasthttp.StatusNoContent {
 		return code, err
 	}
@@ -82,15 +89,30 @@
 // Raw sends a request with a body of the given content type (nil for no body). It returns the
 // HTTP status code and the response body. Errors match ErrTooLarge if the body is too large.
 func (c *Client) Raw(method, path, contentType string, body []byte, deadline time.Time) (int, []byte, error) {
+	return c.send(method, path, contentType, [][]byte{body}, deadline)
+}
+
+// send sends a request whose body is the concatenation of parts. There is no body if the only part is nil.
+func (c *Client) send(method, path, contentType string, parts [][]byte, deadline time.Time) (int, []byte, error) {
 	r := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(r)
 	w := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(w)
 	r.Header.SetMethod(method)
 	r.SetRequestURI("http://" + c.hc.Addr + path)
-	if body != nil {
+	switch {
+	case len(parts) > 1:
+		r.Header.SetContentType(contentType)
+		size := 0
+		readers := make([]io.Reader, len(parts))
+		for i, p := range parts {
+			size += len(p)
+			readers[i] = bytes.NewReader(p)
+		}
+		r.SetBodyStream(io.MultiReader(readers...), size)
+	case parts[0] != nil:
 		r.Header.SetContentType(contentType)
-		r.SetBodyRaw(body)
+		r.SetBodyRaw(parts[0])
 	}
 	if err := c.hc.DoDeadline(r, w, deadline); err != nil {
 		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
--- a/modules/rationer/rationer.go
+++ b/modules/rationer/rationer.go
@@ -45,9 +45,6 @@
 	// OnRevoke, if not nil, is called when the account is revoked by another one that needs the memory. It may be
 	// called from any goroutine, and must make the holder drop what it holds soon.
 	OnRevoke func()
-	// Pinned is true for memory that is in use and can't be revoked. It must not change while the account
-	// holds more than FreeBytes.
-	Pinned bool
 
 	// draws is true while the account may be in Pool.drawing.
 	draws bool
@@ -60,6 +57,18 @@
 	moved   float64
 	movedAt time.Time
 	revoked bool
+	// pinned is true for memory that is in use and can't be revoked.
+	pinned bool
+}
+
+// Pin sets whether the memory of the account is in use and can't be revoked.
+func (a *Account) Pin(pinned bool) {
+	if a.Pool == nil {
+		return
+	}
+	a.Pool.mu.Lock()
+	defer a.Pool.mu.Unlock()
+	a.pinned = pinned
 }
 
 // Hold sets the number of bytes that the account holds. moved is the number of bytes that its client has sent
@@ -144,7 +153,7 @@
 	}
 	var list []candidate
 	for a := range p.drawing {
-		if !a.Pinned {
+		if !a.pinned {
 			list = append(list, candidate{a, a.stagnation(now)})
 		}
 	}
--- a/modules/rationer/rationer_test.go
+++ b/modules/rationer/rationer_test.go
@@ -52,19 +52,26 @@
 	is.True(!last.Revoked())
 }
 
+// pin returns an account of p whose memory is in use.
+func pin(p *Pool) *Account {
+	a := &Account{Pool: p}
+	a.Pin(true)
+	return a
+}
+
 // TestPinnedMemoryIsNotRevoked checks that memory which is in use stays, and that its client is refused who asks for
 // more than is left.
 func TestPinnedMemoryIsNotRevoked(t *testing.T) {
 	is := is.New(t)
 	p := &Pool{Limit: 100 << 10}
 	now := time.Now()
-	pinned := &Account{Pool: p, Pinned: true}
+	pinned := pin(p)
 	is.NoErr(pinned.Hold(100<<10, 0, now))
 	other := &Account{Pool: p}
 	is.True(errors.Is(other.Hold(90<<10, 90<<10, now.Add(time.Minute)), ErrRevoked))
 	is.True(!pinned.Revoked())
 	is.NoErr(client(is, p, FreeBytes, now).Hold(0, 0, now)) // small clients are always served
-	is.True(errors.Is((&Account{Pool: p, Pinned: true}).Hold(90<<10, 0, now), ErrRevoked))
+	is.True(errors.Is(pin(p).Hold(90<<10, 0, now), ErrRevoked))
 	pinned.Release()
 	other.Release()
 	is.Equal(p.Used(), int64(0))
--- a/modules/rationer/shares.go
+++ b/modules/rationer/shares.go
@@ -1,6 +1,10 @@
 package rationer
 
-import "syscall"
+import (
+	"syscall"
+
+	"github.com/ebonylock/ebonylock/modules/accepter"
+)
 
 // MiB is the number of bytes of a mebibyte.
 const MiB = 1 << 20
@@ -25,8 +29,8 @@
 	// connectionCost is the memory that a connection needs apart from what it draws from the Pool: its
 	// state, FreeBytes, and bytes that were received and not read yet.
 	connectionCost = 24 << 10
-	// ReceiveBuffer is the size of a client connection's receive buffer in the kernel, in bytes.
-	ReceiveBuffer = 32 << 10
+	// receiveBuffer is the size of a client connection's receive buffer in the kernel, in bytes.
+	receiveBuffer = 32 << 10
 	// usualHeap is the limit of the heap that is enough for ordinary load on any VM.
 	usualHeap = 120 * MiB
 )
@@ -54,12 +58,41 @@
 	return int64(info.Totalram) * int64(max(info.Unit, 1))
 }
 
-// MaxConnections returns how many connections of clients the memory is enough for.
-func (s Shares) MaxConnections() int {
-	return int(s.Connections / connectionCost)
+// ConnectionLimits limits the connections of the clients of each listener.
+type ConnectionLimits struct {
+	// Callers is the limit of the listener for callers, and Others that of any other one.
+	Callers, Others int
+}
+
+const (
+	// othersPart is the part of the process's file descriptors that the connections of a listener may use which
+	// is not for callers.
+	othersPart = 1. / 32
+	// minOthers is the limit of such a listener in the smallest process.
+	minOthers = 4
+)
+
+// LimitConnections returns the limits that follow from the memory and from the number of file descriptors of the
+// process, which is the smaller one of setting and of the system's limit; 0 if unknown. callersPart is the part of
+// the descriptors for callers. The rest is kept for connections to backend servers, to other VMs and to the store,
+// which the requests of callers need.
+func (s Shares) LimitConnections(setting int, callersPart float64) ConnectionLimits {
+	limits := ConnectionLimits{Callers: int(s.Connections / connectionCost)}
+	var rlimit syscall.Rlimit
+	descriptors := uint64(setting)
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &rlimit); err == nil && (descriptors == 0 || rlimit.Cur < descriptors) {
+		descriptors = rlimit.Cur
+	}
+	limits.Others = limits.Callers
+	if descriptors > 0 {
+		limits.Callers = min(limits.Callers, int(callersPart*float64(descriptors)))
+		limits.Others = min(limits.Others, int(othersPart*float64(descriptors)))
+	}
+	limits.Callers, limits.Others = max(limits.Callers, 1), max(limits.Others, minOthers)
+	return limits
 }
 
-// MaxBacklog returns how many connections may wait to be accepted.
-func (s Shares) MaxBacklog() int {
-	return max(int(s.Backlog/ReceiveBuffer), 1)
+// Buffers returns the limits on what the kernel holds for the clients of a listener.
+func (s Shares) Buffers() accepter.Buffers {
+	return accepter.Buffers{Backlog: max(int(s.Backlog/receiveBuffer), 1), Receive: receiveBuffer}
 }
--- a/routers/answerer/answerer.go
+++ b/routers/answerer/answerer.go
@@ -15,6 +15,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/ebonylock/ebonylock/modules/accepter"
+	"github.com/ebonylock/ebonylock/modules/bouncer"
+	"github.com/ebonylock/ebonylock/modules/rationer"
 	"github.com/ebonylock/ebonylock/modules/replier"
 	"github.com/ebonylock/ebonylock/services/linker"
 	"github.com/ebonylock/ebonylock/services/scatterer"
@@ -51,6 +53,12 @@
 	MaxDeadline time.Duration
 	// MaxInFlight limits the concurrent requests; those above it are refused.
 	MaxInFlight int
+	// MaxConns limits the open connections of which no request is being served; 0 means no limit.
+	MaxConns int
+	// Memory limits what the connections make the process hold; nil for no limit.
+	Memory *rationer.Pool
+	// Buffers limits what the kernel holds for them.
+	Buffers accepter.Buffers
 }
 
 // ReadTimeout limits the time to read one request, including its body.
@@ -78,7 +86,7 @@
 
 // Listen binds cfg.Listen. Requests are served once Serve runs.
 func Listen(cfg Config, search Searcher, submit Submitter, services Services) (*Server, error) {
-	ln, err := net.Listen("tcp", cfg.Listen.String())
+	ln, err := accepter.Listen(cfg.Listen, net.ListenConfig{}, cfg.Buffers)
 	if err != nil {
 		return nil, oops.Wrapf(err, "listen for callers")
 	}
@@ -96,11 +104,11 @@
 	s.srv = &fasthttp.Server{
 		Handler:               s.handle,
 		ErrorHandler:          s.badRequest,
-		MaxRequestBodySize:    cfg.MaxBody,
 		ReadTimeout:           ReadTimeout,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 	}
+	bouncer.Configure(s.srv)
 	return s, nil
 }
 
@@ -111,7 +119,12 @@
 
 // Serve serves requests until Shutdown is called.
 func (s *Server) Serve() error {
-	return oops.Wrapf(s.srv.Serve(&accepter.Listener{Listener: s.ln, OnError: s.OnAcceptError}), "serve callers")
+	ln := &bouncer.Listener{
+		Listener: &accepter.Listener{Listener: s.ln, OnError: s.OnAcceptError},
+		MaxConns: s.cfg.MaxConns,
+		Memory:   s.cfg.Memory,
+	}
+	return oops.Wrapf(s.srv.Serve(ln), "serve callers")
 }
 
 // Drain closes each connection after its next answer, and tells callers so. Shutdown then finds few connections on
@@ -140,6 +153,16 @@
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
+	var body []byte
+	if ctx.IsPost() && (isSearch || isRequest) {
+		// A request that is still arriving is not in flight, as it may never be complete.
+		var err error
+		if body, err = bouncer.ReadBody(ctx, s.cfg.MaxBody); err != nil {
+			s.badRequest(ctx, err)
+			return
+		}
+	}
+	defer bouncer.Serve(ctx)()
 	defer s.inFlight.Add(-1)
 	if s.inFlight.Add(1) > int64(s.cfg.MaxInFlight) {
 		outcome := outcomeNotRun
@@ -152,9 +175,9 @@
 	}
 	switch {
 	case isSearch && ctx.IsPost():
-		s.serveSearch(ctx, search)
+		s.serveSearch(ctx, search, body)
 	case isRequest && ctx.IsPost():
-		s.serveRequest(ctx, service)
+		s.serveRequest(ctx, service, body)
 	case path == "/v1/ticket" && ctx.IsPost():
 		replier.JSON(ctx, fasthttp.StatusOK, wireTicket{s.submit.Mint()})
 	case isSearch, isRequest, path == "/v1/ticket":
@@ -164,9 +187,10 @@
 	}
 }
 
-// badRequest answers a request that fasthttp could not parse or whose body is too large.
+// badRequest answers a request that could not be read or whose body is too large, and ends its connection.
 func (s *Server) badRequest(ctx *fasthttp.RequestCtx, err error) {
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+	ctx.SetConnectionClose()
+	if errors.Is(err, bouncer.ErrTooLarge) {
 		s.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, "body-too-large", "request body is above the limit")
 		return
 	}
@@ -208,10 +232,10 @@
 	return now.Add(time.Duration(*ms) * time.Millisecond), true
 }
 
-func (s *Server) serveSearch(ctx *fasthttp.RequestCtx, name string) {
+func (s *Server) serveSearch(ctx *fasthttp.RequestCtx, name string, body []byte) {
 	now := time.Now()
 	var in wireSearch
-	if err := decode(ctx.PostBody(), &in); err != nil {
+	if err := decode(body, &in); err != nil {
 		s.refuse(ctx, fasthttp.StatusBadRequest, "malformed-body", err.Error())
 		return
 	}
@@ -245,10 +269,10 @@
 	}
 }
 
-func (s *Server) serveRequest(ctx *fasthttp.RequestCtx, service string) {
+func (s *Server) serveRequest(ctx *fasthttp.RequestCtx, service string, body []byte) {
 	now := time.Now()
 	var in wireRequest
-	if err := decode(ctx.PostBody(), &in); err != nil {
+	if err := decode(body, &in); err != nil {
 		s.refuse(ctx, fasthttp.StatusBadRequest, "malformed-body", err.Error())
 		return
 	}
@@ -270,6 +294,6 @@
 	x := linker.Execute{Ticket: in.Ticket, Service: service, Body: in.Request, Deadline: deadline}
 	run, stop := context.WithDeadline(context.Background(), deadline)
 	defer stop()
-	status, body := s.submit.Submit(run, x)
-	replier.Raw(ctx, status, body)
+	status, answer := s.submit.Submit(run, x)
+	replier.Raw(ctx, status, answer)
 }
--- a/routers/answerer/wire.go
+++ b/routers/answerer/wire.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"slices"
+	"runtime"
 
 	"github.com/ebonylock/ebonylock/services/scatterer"
 )
@@ -90,10 +90,14 @@
 	return w
 }
 
-// decode decodes one JSON object into out. Unknown keys and trailing data are errors. The body is
-// copied first, as fasthttp reuses its buffers after the request.
+// decoding limits the bodies that are decoded at once, as each of them needs several times its size meanwhile.
+var decoding = make(chan struct{}, runtime.GOMAXPROCS(0))
+
+// decode decodes one JSON object into out. Unknown keys and trailing data are errors.
 func decode(body []byte, out any) error {
-	d := json.NewDecoder(bytes.NewReader(slices.Clone(body)))
+	decoding <- struct{}{}
+	defer func() { <-decoding }()
+	d := json.NewDecoder(bytes.NewReader(body))
 	d.DisallowUnknownFields()
 	if err := d.Decode(out); err != nil {
 		return errors.New("body is not the expected JSON object: " + err.Error())
--- a/routers/controller/controller.go
+++ b/routers/controller/controller.go
@@ -19,9 +19,11 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"github.com/ebonylock/ebonylock/modules/accepter"
+	"github.com/ebonylock/ebonylock/modules/bouncer"
 	"github.com/ebonylock/ebonylock/modules/loader"
 	"github.com/ebonylock/ebonylock/modules/locator"
 	"github.com/ebonylock/ebonylock/modules/planner"
+	"github.com/ebonylock/ebonylock/modules/rationer"
 	"github.com/ebonylock/ebonylock/modules/recorder"
 	"github.com/ebonylock/ebonylock/modules/replier"
 	"github.com/ebonylock/ebonylock/services/configurer"
@@ -61,6 +63,12 @@
 	Tokens []loader.Token
 	// VM is the ID of this VM.
 	VM string
+	// MaxConns limits the open connections of which no request is being served; 0 means no limit.
+	MaxConns int
+	// Memory limits what the connections make the process hold; nil for no limit.
+	Memory *rationer.Pool
+	// Buffers limits what the kernel holds for them.
+	Buffers accepter.Buffers
 }
 
 const (
@@ -92,7 +100,7 @@
 
 // Listen binds cfg.Listen. Requests are served once Serve runs.
 func Listen(cfg Config, fleet Fleet, configs Configs, ring *recorder.Ring, reg *prometheus.Registry) (*Server, error) {
-	ln, err := net.Listen("tcp", cfg.Listen.String())
+	ln, err := accepter.Listen(cfg.Listen, net.ListenConfig{}, cfg.Buffers)
 	if err != nil {
 		return nil, oops.Wrapf(err, "listen for operators")
 	}
@@ -106,11 +114,11 @@
 	}
 	s.srv = &fasthttp.Server{
 		Handler:               s.handle,
-		MaxRequestBodySize:    maxBody,
 		ReadTimeout:           readTimeout,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 	}
+	bouncer.Configure(s.srv)
 	return s, nil
 }
 
@@ -121,7 +129,12 @@
 
 // Serve serves requests until Shutdown is called.
 func (s *Server) Serve() error {
-	return oops.Wrapf(s.srv.Serve(&accepter.Listener{Listener: s.ln, OnError: s.OnAcceptError}), "serve operators")
+	ln := &bouncer.Listener{
+		Listener: &accepter.Listener{Listener: s.ln, OnError: s.OnAcceptError},
+		MaxConns: s.cfg.MaxConns,
+		Memory:   s.cfg.Memory,
+	}
+	return oops.Wrapf(s.srv.Serve(ln), "serve operators")
 }
 
 // Shutdown stops accepting connections and waits for the requests in progress, until ctx is done.
@@ -209,6 +222,21 @@
 	replier.JSON(ctx, status, wireErrorBody{wireError{code, message}})
 }
 
+// readBody returns the body of a request. If it can't be read, it answers the request and returns false.
+func readBody(ctx *fasthttp.RequestCtx) ([]byte, bool) {
+	body, err := bouncer.ReadBody(ctx, maxBody)
+	switch {
+	case errors.Is(err, bouncer.ErrTooLarge):
+		writeError(ctx, fasthttp.StatusRequestEntityTooLarge, "body-too-large", err.Error())
+	case err != nil:
+		writeError(ctx, fasthttp.StatusBadRequest, "malformed-request", "request body can't be read")
+	}
+	if err != nil {
+		ctx.SetConnectionClose()
+	}
+	return body, err == nil
+}
+
 func (s *Server) plan(ctx *fasthttp.RequestCtx, operator string) {
 	cfg, known := s.configs.Current()
 	view := s.fleet.View()
@@ -216,7 +244,11 @@
 		writeError(ctx, fasthttp.StatusServiceUnavailable, "not-ready", "this VM knows no configuration or no VM list")
 		return
 	}
-	intent, err := planner.DecodeIntent(ctx.PostBody())
+	body, ok := readBody(ctx)
+	if !ok {
+		return
+	}
+	intent, err := planner.DecodeIntent(body)
 	if err != nil {
 		writeError(ctx, fasthttp.StatusBadRequest, "invalid-intent", err.Error())
 		return
@@ -243,7 +275,11 @@
 }
 
 func (s *Server) confirm(ctx *fasthttp.RequestCtx) {
-	p, err := planner.DecodePlan(ctx.PostBody())
+	body, ok := readBody(ctx)
+	if !ok {
+		return
+	}
+	p, err := planner.DecodePlan(body)
 	if err != nil || p.ID == "" {
 		writeError(ctx, fasthttp.StatusBadRequest, "invalid-plan", "body is not a plan")
 		return
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -40,6 +40,8 @@
 )
 
 const (
+	// callersPart is the part of the process's file descriptors that connections of callers may use.
+	callersPart = 0.75
 	// callerDelay is the one-way network latency between a VM and a caller on the users' networks.
 	callerDelay = 3 * time.Millisecond
 	// flushTimeout limits the time for writing buffered log lines at exit.
@@ -122,6 +124,7 @@
 func New(site loader.Site, out io.Writer) (*Daemon, error) {
 	d := &Daemon{site: site, spool: &spooler.Spooler{Out: out}, stop: make(chan struct{}), started: time.Now()}
 	shares := rationer.Divide(int64(site.VM.MemoryMB) * rationer.MiB)
+	conns := shares.LimitConnections(site.VM.Descriptors, callersPart)
 	d.clients.Limit, d.backend.MaxReplyMemory = shares.Clients, shares.Replies
 	d.cut = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "ebonylock", Name: "requests_cut_total", Help: "Requests that got no whole answer, by reason.",
@@ -188,11 +191,10 @@
 	}
 	d.metrics.OnAcceptError = d.acceptPaused(metricsListener)
 	d.callers, err = requester.Config{
-		Addr:          site.Requests.Listen,
-		Memory:        &d.clients,
-		MaxConns:      maxCallers(site.VM.Descriptors, shares),
-		MaxBacklog:    shares.MaxBacklog(),
-		ReceiveBuffer: rationer.ReceiveBuffer,
+		Addr:     site.Requests.Listen,
+		Memory:   &d.clients,
+		MaxConns: conns.Callers,
+		Buffers:  shares.Buffers(),
 	}.Listen(d)
 	if err != nil {
 		return nil, err
--- a/services/runner/runner.go
+++ b/services/runner/runner.go
@@ -20,6 +20,7 @@
 	"github.com/ebonylock/ebonylock/modules/planner"
 	"github.com/ebonylock/ebonylock/modules/prober"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
+	"github.com/ebonylock/ebonylock/modules/rationer"
 	"github.com/ebonylock/ebonylock/modules/recorder"
 	"github.com/ebonylock/ebonylock/routers/answerer"
 	"github.com/ebonylock/ebonylock/routers/controller"
@@ -36,6 +37,9 @@
 	// balancerDelay is the time for which the platform's balancer may still send requests after this VM has
 	// become not ready.
 	balancerDelay = 3 * time.Second
+	// callersPart is the part of the process's file descriptors that connections of callers may use. A VM may own
+	// all backend servers, each with several connections.
+	callersPart = 0.5
 	// answerMargin is the time that an answer may take after its request's deadline.
 	answerMargin = time.Second
 	// fenceAfter is the age of the last heartbeat above which nothing is sent to backend servers.
@@ -60,6 +64,8 @@
 	// stop is closed by Stop.
 	stop     chan struct{}
 	stopOnce sync.Once
+	// clients is the memory that callers and operators make this VM hold.
+	clients rationer.Pool
 }
 
 // stoppableFleet is the coordinator with a Stop method that stops the daemon.
@@ -132,6 +138,9 @@
 		Announce:       d.coord.Announce,
 	}, dial, d.gossip.Heartbeat, &d.quarantine, &d.ring)
 	d.scatter = scatterer.New(scatterer.Config{ExtraRatio: s.Limits.ExtraRatio, MaxHedges: s.Limits.MaxHedges}, d.coord, &d.quarantine)
+	shares := rationer.Divide(int64(s.VM.MemoryMB) * rationer.MiB)
+	d.clients.Limit = shares.Clients
+	conns := shares.LimitConnections(s.VM.Descriptors, callersPart)
 	d.submit = submitter.New(s.VM.ID, incarnation, s.Fleet.Keys, d.coord)
 	var err error
 	d.callers, err = answerer.Listen(answerer.Config{
@@ -140,6 +149,9 @@
 		DefaultDeadline: s.Callers.DefaultDeadline,
 		MaxDeadline:     s.Callers.MaxDeadline,
 		MaxInFlight:     s.Callers.MaxInFlight,
+		MaxConns:        conns.Callers,
+		Memory:          &d.clients,
+		Buffers:         shares.Buffers(),
 	}, d.scatter, d.submit, d.coord)
 	if err != nil {
 		return err
@@ -149,7 +161,7 @@
 	for _, r := range []interface{ Register(prometheus.Registerer) }{d.dispatch, d.config, d.gossip, d.scatter, d.submit, d.callers} {
 		r.Register(reg)
 	}
-	cfg := controller.Config{Listen: s.Operators.Listen, Tokens: s.Operators.Tokens, VM: s.VM.ID}
+	cfg := controller.Config{Listen: s.Operators.Listen, Tokens: s.Operators.Tokens, VM: s.VM.ID, MaxConns: conns.Others, Memory: &d.clients, Buffers: shares.Buffers()}
 	d.control, err = controller.Listen(cfg, stoppableFleet{d.coord, d}, d.config, &d.ring, reg)
 	return err
 }
