Readiness and metrics: clients that stall hold little and leave room for others

What callers saw: a VM of the users' platform ended, out of memory, and callers and the load balancer were not served, while clients sent large requests to the addresses for readiness checks or metrics, or kept connections to them open.

Cause: the readiness listener took bodies of 4 MiB, and heads of requests for metrics could have 1 MiB. Neither limited its connections, and that for readiness had no timeout, so its clients took every descriptor for good.

--- a/modules/bouncer/bouncer.go
+++ b/modules/bouncer/bouncer.go
@@ -4,20 +4,38 @@
 
 import (
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/ebonylock/ebonylock/modules/accepter"
 	"github.com/ebonylock/ebonylock/modules/rationer"
 )
 
-// Listener is a net.Listener that accepts every connection and closes others for it. The zero values of its fields
-// limit nothing.
-type Listener struct {
-	net.Listener
+// Limits limits what the clients of a listener make the process hold. The zero value limits nothing.
+type Limits struct {
 	// MaxConns limits the open connections, except for trusted and busy ones; 0 means no limit.
 	MaxConns int
 	// Memory is the memory that the connections draw on; nil for no limit.
 	Memory *rationer.Pool
+	// Buffers limits what the kernel holds for the connections.
+	Buffers accepter.Buffers
+}
+
+// Bind binds a TCP address.
+func (l Limits) Bind(addr netip.AddrPort) (*net.TCPListener, error) {
+	return accepter.Listen(addr, net.ListenConfig{}, l.Buffers)
+}
+
+// Listener returns a Listener that survives errors of accept and passes them to onError, at most once a second.
+func (l Limits) Listener(ln net.Listener, onError func(err error)) *Listener {
+	return &Listener{Listener: &accepter.Listener{Listener: ln, OnError: onError}, Limits: l}
+}
+
+// Listener is a net.Listener that accepts every connection and closes others for it.
+type Listener struct {
+	net.Listener
+	Limits
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
--- a/modules/bouncer/bouncer_test.go
+++ b/modules/bouncer/bouncer_test.go
@@ -45,7 +45,7 @@
 // has not moved for longest, unless it is trusted or busy.
 func TestOldestConnectionMakesRoom(t *testing.T) {
 	is := is.New(t)
-	l := &Listener{Listener: listen(t), MaxConns: 2}
+	l := &Listener{Listener: listen(t), Limits: Limits{MaxConns: 2}}
 	trustedClient, trusted := connect(is, l)
 	trusted.Trust()
 	busyClient, busy := connect(is, l)
@@ -67,7 +67,7 @@
 func TestUnansweredBytesDrawOnTheMemory(t *testing.T) {
 	is := is.New(t)
 	p := &rationer.Pool{Limit: 64 << 10}
-	l := &Listener{Listener: listen(t), Memory: p}
+	l := &Listener{Listener: listen(t), Limits: Limits{Memory: p}}
 	read := func(client net.Conn, server *Conn, n int) error {
 		go func() { _, _ = client.Write(make([]byte, n)) }()
 		_, err := io.ReadFull(server, make([]byte, n))
@@ -110,7 +110,7 @@
 			ctx.SetBody(body)
 		}
 	}
-	go func() { _ = s.Serve(&Listener{Listener: ln, Memory: p}) }()
+	go func() { _ = s.Serve(&Listener{Listener: ln, Limits: Limits{Memory: p}}) }()
 	defer func() { _ = s.Shutdown() }()
 	c := fasthttp.Client{Dial: func(string) (net.Conn, error) { return net.Dial("tcp4", ln.Addr().String()) }}
 	for _, tc := range []struct {
--- a/routers/answerer/answerer.go
+++ b/routers/answerer/answerer.go
@@ -14,9 +14,7 @@
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
-	"github.com/ebonylock/ebonylock/modules/accepter"
 	"github.com/ebonylock/ebonylock/modules/bouncer"
-	"github.com/ebonylock/ebonylock/modules/rationer"
 	"github.com/ebonylock/ebonylock/modules/replier"
 	"github.com/ebonylock/ebonylock/services/linker"
 	"github.com/ebonylock/ebonylock/services/scatterer"
@@ -53,12 +51,8 @@
 	MaxDeadline time.Duration
 	// MaxInFlight limits the concurrent requests; those above it are refused.
 	MaxInFlight int
-	// MaxConns limits the open connections of which no request is being served; 0 means no limit.
-	MaxConns int
-	// Memory limits what the connections make the process hold; nil for no limit.
-	Memory *rationer.Pool
-	// Buffers limits what the kernel holds for them.
-	Buffers accepter.Buffers
+	// Limits limits what the connections make the process hold.
+	Limits bouncer.Limits
 }
 
 // ReadTimeout limits the time to read one request, including its body.
@@ -86,7 +80,7 @@
 
 // Listen binds cfg.Listen. Requests are served once Serve runs.
 func Listen(cfg Config, search Searcher, submit Submitter, services Services) (*Server, error) {
-	ln, err := accepter.Listen(cfg.Listen, net.ListenConfig{}, cfg.Buffers)
+	ln, err := cfg.Limits.Bind(cfg.Listen)
 	if err != nil {
 		return nil, oops.Wrapf(err, "listen for callers")
 	}
@@ -119,12 +113,7 @@
 
 // Serve serves requests until Shutdown is called.
 func (s *Server) Serve() error {
-	ln := &bouncer.Listener{
-		Listener: &accepter.Listener{Listener: s.ln, OnError: s.OnAcceptError},
-		MaxConns: s.cfg.MaxConns,
-		Memory:   s.cfg.Memory,
-	}
-	return oops.Wrapf(s.srv.Serve(ln), "serve callers")
+	return oops.Wrapf(s.srv.Serve(s.cfg.Limits.Listener(s.ln, s.OnAcceptError)), "serve callers")
 }
 
 // Drain closes each connection after its next answer, and tells callers so. Shutdown then finds few connections on
--- a/routers/controller/controller.go
+++ b/routers/controller/controller.go
@@ -18,12 +18,10 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
-	"github.com/ebonylock/ebonylock/modules/accepter"
 	"github.com/ebonylock/ebonylock/modules/bouncer"
 	"github.com/ebonylock/ebonylock/modules/loader"
 	"github.com/ebonylock/ebonylock/modules/locator"
 	"github.com/ebonylock/ebonylock/modules/planner"
-	"github.com/ebonylock/ebonylock/modules/rationer"
 	"github.com/ebonylock/ebonylock/modules/recorder"
 	"github.com/ebonylock/ebonylock/modules/replier"
 	"github.com/ebonylock/ebonylock/services/configurer"
@@ -63,12 +61,8 @@
 	Tokens []loader.Token
 	// VM is the ID of this VM.
 	VM string
-	// MaxConns limits the open connections of which no request is being served; 0 means no limit.
-	MaxConns int
-	// Memory limits what the connections make the process hold; nil for no limit.
-	Memory *rationer.Pool
-	// Buffers limits what the kernel holds for them.
-	Buffers accepter.Buffers
+	// Limits limits what the connections make the process hold.
+	Limits bouncer.Limits
 }
 
 const (
@@ -100,7 +94,7 @@
 
 // Listen binds cfg.Listen. Requests are served once Serve runs.
 func Listen(cfg Config, fleet Fleet, configs Configs, ring *recorder.Ring, reg *prometheus.Registry) (*Server, error) {
-	ln, err := accepter.Listen(cfg.Listen, net.ListenConfig{}, cfg.Buffers)
+	ln, err := cfg.Limits.Bind(cfg.Listen)
 	if err != nil {
 		return nil, oops.Wrapf(err, "listen for operators")
 	}
@@ -129,12 +123,7 @@
 
 // Serve serves requests until Shutdown is called.
 func (s *Server) Serve() error {
-	ln := &bouncer.Listener{
-		Listener: &accepter.Listener{Listener: s.ln, OnError: s.OnAcceptError},
-		MaxConns: s.cfg.MaxConns,
-		Memory:   s.cfg.Memory,
-	}
-	return oops.Wrapf(s.srv.Serve(ln), "serve operators")
+	return oops.Wrapf(s.srv.Serve(s.cfg.Limits.Listener(s.ln, s.OnAcceptError)), "serve operators")
 }
 
 // Shutdown stops accepting connections and waits for the requests in progress, until ctx is done.
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/ebonylock/ebonylock/modules/bouncer"
 	"github.com/ebonylock/ebonylock/modules/loader"
 	"github.com/ebonylock/ebonylock/modules/prober"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
@@ -126,6 +127,7 @@
 	shares := rationer.Divide(int64(site.VM.MemoryMB) * rationer.MiB)
 	conns := shares.LimitConnections(site.VM.Descriptors, callersPart)
 	d.clients.Limit, d.backend.MaxReplyMemory = shares.Clients, shares.Replies
+	others := bouncer.Limits{MaxConns: conns.Others, Memory: &d.clients, Buffers: shares.Buffers()}
 	d.cut = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "ebonylock", Name: "requests_cut_total", Help: "Requests that got no whole answer, by reason.",
 	}, []string{"reason"})
@@ -182,11 +184,11 @@
 		return nil, err
 	}
 	d.relay.OnAcceptError = d.acceptPaused(linkListener)
-	if d.readiness, err = readier.Listen(site.Requests.Readiness, d.Ready); err != nil {
+	if d.readiness, err = readier.Listen(site.Requests.Readiness, d.Ready, others); err != nil {
 		return nil, err
 	}
 	d.readiness.OnAcceptError = d.acceptPaused(readinessListener)
-	if d.metrics, err = exposer.Listen(site.Requests.Metrics, d.registry()); err != nil {
+	if d.metrics, err = exposer.Listen(site.Requests.Metrics, d.registry(), others); err != nil {
 		return nil, err
 	}
 	d.metrics.OnAcceptError = d.acceptPaused(metricsListener)
--- a/services/runner/runner.go
+++ b/services/runner/runner.go
@@ -13,6 +13,7 @@
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
 
+	"github.com/ebonylock/ebonylock/modules/bouncer"
 	"github.com/ebonylock/ebonylock/modules/executor"
 	"github.com/ebonylock/ebonylock/modules/keeper"
 	"github.com/ebonylock/ebonylock/modules/lister"
@@ -149,9 +150,7 @@
 		DefaultDeadline: s.Callers.DefaultDeadline,
 		MaxDeadline:     s.Callers.MaxDeadline,
 		MaxInFlight:     s.Callers.MaxInFlight,
-		MaxConns:        conns.Callers,
-		Memory:          &d.clients,
-		Buffers:         shares.Buffers(),
+		Limits:          bouncer.Limits{MaxConns: conns.Callers, Memory: &d.clients, Buffers: shares.Buffers()},
 	}, d.scatter, d.submit, d.coord)
 	if err != nil {
 		return err
@@ -161,7 +160,8 @@
 	for _, r := range []interface{ Register(prometheus.Registerer) }{d.dispatch, d.config, d.gossip, d.scatter, d.submit, d.callers} {
 		r.Register(reg)
 	}
-	cfg := controller.Config{Listen: s.Operators.Listen, Tokens: s.Operators.Tokens, VM: s.VM.ID, MaxConns: conns.Others, Memory: &d.clients, Buffers: shares.Buffers()}
+	cfg := controller.Config{Listen: s.Operators.Listen, Tokens: s.Operators.Tokens, VM: s.VM.ID}
+	cfg.Limits = bouncer.Limits{MaxConns: conns.Others, Memory: &d.clients, Buffers: shares.Buffers()}
 	d.control, err = controller.Listen(cfg, stoppableFleet{d.coord, d}, d.config, &d.ring, reg)
 	return err
 }
