VM to VM: a client without a key holds little, and calls share the memory for clients

What callers saw: a VM of the users' platform ended, out of memory, and callers and the load balancer were not served, while clients without a key sent frames that stop short of their end to the address for other VMs, or kept connections to it open.

Cause: a frame took memory for its announced length, up to 4 MiB, before its end shows whether the sender has a key; neither its time nor the number of connections was limited. Calls of other VMs held bodies that nothing counted, each VM as many as its own callers may have, and for each call a frame was copied three times before it waited for the connection.

Change: the listener has bouncer.Limits. A frame takes memory as it arrives (filler), counted until the first one was decrypted; then the client is trusted, and neither its connection nor its frames are touched for others. A call whose body has no room is refused, so that the other VM knows that nothing of it was run. One frame at a time is prepared on a connection.

TestCallsShareTheMemory, TestFrameTakesMemoryAsItArrives.

--- a/modules/bouncer/bouncer.go
+++ b/modules/bouncer/bouncer.go
@@ -55,7 +55,7 @@
 	// trusted is true for a client that has shown that it belongs to the fleet, and busy while a request is being
 	// served. Neither connection is closed for others.
 	trusted, busy bool
-	// unmanaged is true if reads don't count, because the reader accounts for them itself.
+	// unmanaged is true if nothing counts that is read or written.
 	unmanaged bool
 }
 
@@ -123,18 +123,25 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	err := c.hold(len(p), 0)
-	c.mu.Unlock()
-	if err != nil {
+	if err := c.holdWrite(len(p), 0); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
+	_ = c.holdWrite(0, n)
+	return n, err
+}
+
+// holdWrite accounts for n bytes to be written, after moved ones were.
+func (c *Conn) holdWrite(n, moved int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.moved = time.Now()
-	_ = c.hold(0, n)
-	return n, err
+	if moved > 0 {
+		c.moved = time.Now()
+	}
+	if c.unmanaged {
+		return nil
+	}
+	return c.hold(n, moved)
 }
 
 // Hold sets the number of bytes that are held for the client, in place of those that were read. If the memory for
@@ -163,19 +170,23 @@
 	c.account.Pin(busy)
 }
 
-// Trust marks the client as one that belongs to the fleet.
+// Trust marks the client as one that belongs to the fleet. Its connection doesn't draw on the memory for clients any
+// more.
 func (c *Conn) Trust() {
+	c.Unmanage()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.trusted = true
 }
 
-// Unmanage makes reads not count any more. The reader accounts for them itself.
+// Unmanage makes nothing count that is read or written, because the user of the connection accounts for it.
 func (c *Conn) Unmanage() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unmanaged = true
-	_ = c.hold(0, 0)
+	if !c.unmanaged {
+		c.unmanaged = true
+		_ = c.hold(0, 0)
+	}
 }
 
 // Close implements net.Conn.
--- a/services/gatherer/conn.go
+++ b/services/gatherer/conn.go
@@ -14,7 +14,10 @@
 
 	"github.com/samber/oops"
 
+	"github.com/ebonylock/ebonylock/modules/bouncer"
 	"github.com/ebonylock/ebonylock/modules/encoder"
+	"github.com/ebonylock/ebonylock/modules/filler"
+	"github.com/ebonylock/ebonylock/modules/rationer"
 	"github.com/ebonylock/ebonylock/modules/sealer"
 )
 
@@ -40,6 +43,10 @@
 	netConn net.Conn
 	reader  *bufio.Reader
 	sealer  *sealer.Sealer
+	// account is the memory of a frame that is being read, until the first frame was decrypted. Then trusted is
+	// true: the other end has a key.
+	account rationer.Account
+	trusted bool
 
 	mu     sync.Mutex
 	closed bool
@@ -51,15 +58,16 @@
 
 // write sends a frame. If the network write fails, it closes the connection.
 func (c *conn) write(f frame) error {
-	sealed := c.sealer.Seal(f.append(nil))
-	if len(sealed) > maxFrame {
-		return oops.Wrapf(encoder.ErrMalformed, "frame of %d bytes", len(sealed))
-	}
+	// A frame is copied several times for a write, so only one is prepared at once.
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return errClosed
 	}
+	sealed := c.sealer.Seal(f.append(nil))
+	if len(sealed) > maxFrame {
+		return oops.Wrapf(encoder.ErrMalformed, "frame of %d bytes", len(sealed))
+	}
 	out := binary.BigEndian.AppendUint32(make([]byte, 0, lengthSize+len(sealed)), uint32(len(sealed)))
 	err := c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err == nil {
@@ -82,14 +90,23 @@
 	if n > maxFrame {
 		return frame{}, oops.Wrapf(encoder.ErrMalformed, "frame of %d bytes", n)
 	}
-	sealed := make([]byte, n)
-	if _, err := io.ReadFull(c.reader, sealed); err != nil {
+	var progress func(taken, read int) error
+	if !c.trusted {
+		progress = func(taken, read int) error { return c.account.Hold(taken, read, time.Now()) }
+	}
+	sealed, err := filler.ReadFull(c.reader, int(n), progress)
+	if err != nil {
 		return frame{}, err
 	}
 	plain, err := c.sealer.Open(sealed)
 	if err != nil {
 		return frame{}, err
 	}
+	if !c.trusted {
+		c.trusted = true
+		c.account.Release()
+		bouncer.Trust(c.netConn)
+	}
 	return decodeFrame(plain)
 }
 
--- a/services/gatherer/gatherer_test.go
+++ b/services/gatherer/gatherer_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"github.com/ebonylock/ebonylock/modules/rationer"
 	"github.com/ebonylock/ebonylock/modules/selector"
 	"github.com/ebonylock/ebonylock/services/forwarder"
 )
@@ -51,11 +52,18 @@
 // startPair connects a Client and a Server with the given keys by pipes. The channel gets the
 // client end of each connection that the Client opens.
 func startPair(t *testing.T, serverKeys [][]byte, f collectorFunc) (c *Client, conns chan net.Conn) {
+	t.Helper()
+	return startLimitedPair(t, serverKeys, f, nil)
+}
+
+// startLimitedPair is like startPair with the given memory of the Server.
+func startLimitedPair(t *testing.T, serverKeys [][]byte, f collectorFunc, memory *rationer.Pool) (c *Client, conns chan net.Conn) {
 	t.Helper()
 	s, err := NewServer(serverKeys, f, discardLogger())
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.Memory = memory
 	conns = make(chan net.Conn, 8)
 	c, err = NewClient(keys, &selector.Roster{}, func(netip.AddrPort, *net.Dialer) (net.Conn, error) {
 		near, far := net.Pipe()
@@ -273,3 +281,69 @@
 	<-late.accepted // it is measured when the VM accepted the call
 	is.Equal(len(c.peer(vm.Link).calls), 0)
 }
+
+// TestCallsShareTheMemory checks that a call for which there is no memory is refused, and that it can be made once others
+// have ended.
+func TestCallsShareTheMemory(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	memory := &rationer.Pool{Limit: 64 << 10}
+	c, _ := startLimitedPair(t, keys, func(_ context.Context, _ *forwarder.Call, accept func() bool, emit func(forwarder.Partial)) error {
+		accept()
+		<-release
+		emit(forwarder.Partial{Final: true})
+		return nil
+	}, memory)
+	large := func() *forwarder.Call {
+		call := newCall(time.Now())
+		call.Deadline = time.Now().Add(time.Minute)
+		call.Body = make([]byte, 50<<10)
+		return call
+	}
+	first, second, third := newTestHandler(), newTestHandler(), newTestHandler()
+	x := c.Gather(vm, large(), first)
+	<-first.accepted
+	x.Start()
+	c.Gather(vm, large(), second)
+	is.True(errors.Is(<-second.failed, forwarder.ErrRefused))
+	small := newTestHandler()
+	c.Gather(vm, newCall(time.Now()), small)
+	<-small.accepted // small calls always have room
+	close(release)
+	<-first.partials
+	for memory.Used() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Gather(vm, large(), third)
+	<-third.accepted
+}
+
+// TestFrameTakesMemoryAsItArrives guards against clients without a key that make a VM take memory: by the length of a
+// frame that they announce, or by frames that stop short.
+func TestFrameTakesMemoryAsItArrives(t *testing.T) {
+	is := is.New(t)
+	memory := &rationer.Pool{Limit: 256 << 10}
+	s, err := NewServer(keys, nil, discardLogger())
+	is.NoErr(err)
+	s.Memory = memory
+	connect := func(announced, sent int) net.Conn {
+		near, far := net.Pipe()
+		t.Cleanup(func() { _ = near.Close() })
+		go s.ServeConn(far)
+		_, err := near.Write(append(binary.BigEndian.AppendUint32(nil, uint32(announced)), make([]byte, sent)...))
+		is.NoErr(err)
+		return near
+	}
+	connect(maxFrame, 0)
+	is.Equal(memory.Used(), int64(0))
+	stalled := connect(maxFrame, 200<<10)
+	for memory.Used() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for err == nil { // until there is more than the memory
+		_, err = stalled.Write(make([]byte, 100<<10))
+	}
+	for memory.Used() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/services/gatherer/server.go
+++ b/services/gatherer/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/ebonylock/ebonylock/modules/rationer"
 	"github.com/ebonylock/ebonylock/modules/sealer"
 	"github.com/ebonylock/ebonylock/services/forwarder"
 )
@@ -21,6 +22,9 @@
 
 // Server serves the calls of other VMs.
 type Server struct {
+	// Memory is what the calls in progress draw on, and clients that have not shown yet that they have a key; nil
+	// for no limit. It must be set before use.
+	Memory    *rationer.Pool
 	collector Collector
 	sealer    *sealer.Sealer
 	log       *logrus.Logger
@@ -40,6 +44,9 @@
 func (s *Server) ServeConn(c net.Conn) {
 	fc := newConn(c, s.sealer)
 	defer fc.close()
+	fc.account.Pool = s.Memory
+	fc.account.OnRevoke = func() { _ = c.Close() }
+	defer fc.account.Release()
 	sess := &session{server: s, conn: fc, calls: make(map[uint64]*incomingCall)}
 	defer sess.endAllCalls()
 	for {
@@ -87,7 +94,18 @@
 		s.mu.Lock()
 		s.calls[f.call] = x
 		s.mu.Unlock()
-		go s.serveCall(ctx, f.call, x, c)
+		memory := &rationer.Account{Pool: s.server.Memory}
+		memory.Pin(true)
+		if memory.Hold(len(f.body), 0, time.Now()) != nil {
+			memory.Release()
+			s.endCall(f.call, true)
+			s.sendFrame(frame{kind: kindRefused, call: f.call})
+			return nil
+		}
+		go func() {
+			defer memory.Release()
+			s.serveCall(ctx, f.call, x, c)
+		}()
 	case kindStart:
 		s.startCall(f.call)
 	case kindEnd:
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/ebonylock/ebonylock/modules/accepter"
 	"github.com/ebonylock/ebonylock/modules/bouncer"
 	"github.com/ebonylock/ebonylock/modules/loader"
 	"github.com/ebonylock/ebonylock/modules/prober"
@@ -180,7 +181,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := d.startMembership(calls); err != nil {
+	calls.Memory = &d.clients
+	if err := d.startMembership(calls, bouncer.Limits{MaxConns: conns.Others, Memory: &d.clients, Buffers: accepter.Buffers{Receive: shares.Buffers().Receive}}); err != nil {
 		return nil, err
 	}
 	d.relay.OnAcceptError = d.acceptPaused(linkListener)
@@ -245,8 +247,9 @@
 	return reg
 }
 
-// startMembership starts the membership protocol and the server for calls from other VMs.
-func (d *Daemon) startMembership(calls *gatherer.Server) error {
+// startMembership starts the membership protocol and the server for calls from other VMs, whose clients have the given
+// limits.
+func (d *Daemon) startMembership(calls *gatherer.Server, limits bouncer.Limits) error {
 	incarnation := rand.Uint64()
 	keys, err := deriveKeys(d.site.Peers.Keys, "membership")
 	if err != nil {
@@ -256,7 +259,7 @@
 	if err != nil {
 		return err
 	}
-	if d.relay, err = relayer.Listen(d.site.Peers.Link, relayKeys, &d.follow.Cache); err != nil {
+	if d.relay, err = relayer.Listen(d.site.Peers.Link, relayKeys, &d.follow.Cache, limits); err != nil {
 		return err
 	}
 	d.relay.OnStream = calls.ServeConn
--- a/services/relayer/relayer.go
+++ b/services/relayer/relayer.go
@@ -16,7 +16,7 @@
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
-	"github.com/ebonylock/ebonylock/modules/accepter"
+	"github.com/ebonylock/ebonylock/modules/bouncer"
 	"github.com/ebonylock/ebonylock/modules/encoder"
 	"github.com/ebonylock/ebonylock/modules/fetcher"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
@@ -48,6 +48,8 @@
 	snapshotTimeout = time.Second
 	// idleTimeout is the time without requests after which a connection is closed.
 	idleTimeout = time.Minute
+	// readTimeout limits the time to read a request.
+	readTimeout = 5 * time.Second
 )
 
 // LossTracker stores the losses of replicas.
@@ -69,12 +71,14 @@
 	// Losses provides the losses that are sent with each reply; nil for none. It must be set before
 	// Serve.
 	Losses LossTracker
-	// OnStream takes over a connection that another VM opened with DialStream, and must close it;
+	// OnStream takes over a connection that another VM opened with DialStream, and must close it. It must pass
+	// the connection to bouncer.Trust once the other VM has shown that it has a key;
 	// nil to refuse such connections. It must be set before Serve.
 	OnStream func(c net.Conn)
 	// OnAcceptError is called with errors of accept, at most once a second; the server then tries again.
 	// It must be set before Serve; nil to ignore the errors.
 	OnAcceptError func(err error)
+	limits        bouncer.Limits
 	source        replicator.Source
 	sealer        *sealer.Sealer
 	ln            net.Listener
@@ -93,19 +97,20 @@
 }
 
 // Listen returns a Server that listens on addr. Keys are 32 bytes long: the first one encrypts, and
-// each of them is tried for decryption, so that a key can be rotated.
-func Listen(addr netip.AddrPort, keys [][]byte, source replicator.Source) (*Server, error) {
+// each of them is tried for decryption, so that a key can be rotated. limits applies to clients until they have shown
+// that they have a key.
+func Listen(addr netip.AddrPort, keys [][]byte, source replicator.Source, limits bouncer.Limits) (*Server, error) {
 	replySealer, err := sealer.New(keys)
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp4", addr.String())
+	ln, err := limits.Bind(addr)
 	if err != nil {
 		return nil, oops.Wrapf(err, "listen for other VMs on %s", addr)
 	}
-	s := &Server{source: source, sealer: replySealer, ln: ln}
+	s := &Server{source: source, sealer: replySealer, ln: ln, limits: limits}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.srv = fasthttp.Server{Handler: s.handle, MaxRequestBodySize: maxRequest, NoDefaultServerHeader: true, IdleTimeout: idleTimeout}
+	s.srv = fasthttp.Server{Handler: s.handle, MaxRequestBodySize: maxRequest, NoDefaultServerHeader: true, ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
 	return s, nil
 }
 
@@ -116,7 +121,7 @@
 
 // Serve accepts connections until Close is called.
 func (s *Server) Serve() error {
-	return oops.Wrap(s.srv.Serve(&accepter.Listener{Listener: s.ln, OnError: s.OnAcceptError}))
+	return oops.Wrap(s.srv.Serve(s.limits.Listener(s.ln, s.OnAcceptError)))
 }
 
 // Close ends Serve and all requests that wait for changes.
@@ -129,7 +134,8 @@
 	path := string(ctx.Path())
 	if path == pathStream && s.OnStream != nil {
 		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(s.handleStream)
+		client, _ := ctx.Conn().(*bouncer.Conn)
+		ctx.Hijack(func(c net.Conn) { s.handleStream(c, client) })
 		return
 	}
 	if path != pathRead && path != pathLoss {
@@ -141,6 +147,7 @@
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
 		return
 	}
+	bouncer.Trust(ctx.Conn())
 	if path == pathLoss {
 		s.handleLoss(ctx, plain)
 		return
@@ -180,14 +187,29 @@
 }
 
 // handleStream clears the deadlines that the HTTP server has set on a connection and passes it to
-// OnStream.
-func (s *Server) handleStream(c net.Conn) {
+// OnStream. client is the connection below c; nil if its listener has no limits.
+func (s *Server) handleStream(c net.Conn, client *bouncer.Conn) {
 	if err := c.SetDeadline(time.Time{}); err != nil {
 		return
 	}
+	if client != nil {
+		client.Unmanage()
+		c = stream{c, client}
+	}
 	s.OnStream(c)
 }
 
+// stream is a connection that was taken over from the HTTP server.
+type stream struct {
+	net.Conn
+	client *bouncer.Conn
+}
+
+// Trust marks the client as one that belongs to the fleet.
+func (s stream) Trust() {
+	s.client.Trust()
+}
+
 // DialStream opens a connection to the VM whose Server is at addr. The Server passes it to its
 // OnStream. There is no reply to the HTTP request; the connection is ready for use.
 func DialStream(addr netip.AddrPort, d *net.Dialer) (net.Conn, error) {
--- a/services/relayer/relayer_test.go
+++ b/services/relayer/relayer_test.go
@@ -12,8 +12,10 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"github.com/ebonylock/ebonylock/modules/bouncer"
 	"github.com/ebonylock/ebonylock/modules/fetcher"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
+	"github.com/ebonylock/ebonylock/modules/rationer"
 	"github.com/ebonylock/ebonylock/modules/reporter"
 	"github.com/ebonylock/ebonylock/services/replicator"
 )
@@ -22,7 +24,7 @@
 
 func startServer(t *testing.T, source replicator.Source) (*Server, *Client) {
 	t.Helper()
-	s, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), keys, source)
+	s, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), keys, source, bouncer.Limits{MaxConns: 8, Memory: &rationer.Pool{Limit: 1 << 20}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -117,7 +119,7 @@
 
 func TestLossIsTold(t *testing.T) {
 	is := is.New(t)
-	s, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), keys, &replicator.Cache{})
+	s, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), keys, &replicator.Cache{}, bouncer.Limits{})
 	is.NoErr(err)
 	received := make(chan quarantiner.Loss, 1)
 	s.OnLoss = func(l quarantiner.Loss) { received <- l }
--- a/tests/crowd/listeners_test.go
+++ b/tests/crowd/listeners_test.go
@@ -19,6 +19,7 @@
 }{
 	{"readiness", (*fleet.SiteVM).Readiness},
 	{"metrics", (*fleet.SiteVM).MetricsAddr},
+	{"link", (*fleet.SiteVM).Link},
 }
 
 // checkVM checks that the VM answers the load balancer and an ordinary caller.
