Replies: a status that is none of HTTP is no answer

What callers saw: a backend server in trouble that answered with status 000 was taken to have answered with 200, if the body was valid, at the own interface.

--- a/modules/executor/executor_test.go
+++ b/modules/executor/executor_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -138,6 +139,8 @@
 		"of another request":  httpReply(`{"request-id":"y","generation":1,"results":[1],"results-xxh64":"` + sum + `"}`),
 		"of another snapshot": httpReply(`{"request-id":"x","generation":2,"results":[1],"results-xxh64":"` + sum + `"}`),
 		"a result missing":    httpReply(`{"request-id":"x","generation":1,"results":[],"results-xxh64":"` + sum + `"}`),
+		"no HTTP status":      strings.Replace(httpReply(`{"request-id":"x","generation":1,"results":[1],"results-xxh64":"`+sum+`"}`), "200", "000", 1),
+		"refused with none":   strings.Replace(httpReply(`{"request-id":"x","code":"shed","not-run":true}`), "200", "000", 1),
 		"a result changed":    httpReply(`{"request-id":"x","generation":1,"results":[2],"results-xxh64":"` + sum + `"}`),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/modules/fetcher/fetcher.go
+++ b/modules/fetcher/fetcher.go
@@ -32,7 +32,11 @@
 
 func dial(addr string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
-	return d.Dial("tcp4", addr)
+	c, err := d.Dial("tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &checkedConn{Conn: c}, nil
 }
 
 // Client calls a single HTTP server. It never retries a request.
--- a/modules/fetcher/fetcher_test.go
+++ b/modules/fetcher/fetcher_test.go
@@ -63,3 +63,20 @@
 	defer c.Close()
 	return c.Do("GET", "/", nil, out, time.Now().Add(5*time.Second))
 }
+
+// TestNoHTTPStatus guards against a response whose status is none of HTTP, which was taken for a success.
+func TestNoHTTPStatus(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 000", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "\r\nHTTP/1.1 000 OK", "HTTP/1.1  000 OK"} {
+		var out struct {
+			AsOf int `json:"as_of"`
+		}
+		code, err := fetch(t, line+"\r\nContent-Length: 11\r\n\r\n{\"as_of\":7}", false, &out)
+		if code != 0 || err == nil || out.AsOf != 0 {
+			t.Errorf("%q: status %d, %v, %+v", line, code, err, out)
+		}
+	}
+	code, err := fetch(t, "HTTP/1.1 500 Failed\r\nContent-Length: 2\r\n\r\n{}", false, nil)
+	if code != 500 || err != nil {
+		t.Errorf("failure: status %d, %v", code, err)
+	}
+}
