VM to VM: a call is encoded when its connection is free

Cause: calls that waited for their connection each held an encoded copy of the caller's body, which nothing counted: one per call and VM that gathers.

Change: a call is encoded under the connection's lock, so that there is one such copy per connection. Found by reading; the tests of the package pass as before.

--- a/services/gatherer/client.go
+++ b/services/gatherer/client.go
@@ -142,7 +142,10 @@
 	x.conn, x.id = l, p.lastCallID
 	p.calls[x.id] = x
 	p.mu.Unlock()
-	if err := l.write(frame{kind: kindCall, call: x.id, body: appendCall(nil, call, time.Now())}); err != nil {
+	err = l.writeEncoded(func() frame {
+		return frame{kind: kindCall, call: x.id, body: appendCall(nil, call, time.Now())}
+	})
+	if err != nil {
 		p.closeConn(l, err)
 	}
 }
--- a/services/gatherer/conn.go
+++ b/services/gatherer/conn.go
@@ -58,13 +58,18 @@
 
 // write sends a frame. If the network write fails, it closes the connection.
 func (c *conn) write(f frame) error {
-	// A frame is copied several times for a write, so only one is prepared at once.
+	return c.writeEncoded(func() frame { return f })
+}
+
+// writeEncoded is like write for the frame that encode returns. A large frame takes several times its size until it is
+// written, so only one is encoded at once.
+func (c *conn) writeEncoded(encode func() frame) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return errClosed
 	}
-	sealed := c.sealer.Seal(f.append(nil))
+	sealed := c.sealer.Seal(encode().append(nil))
 	if len(sealed) > maxFrame {
 		return oops.Wrapf(encoder.ErrMalformed, "frame of %d bytes", len(sealed))
 	}
