--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -231,16 +231,11 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: "ebonylock", Name: "replica_connections", Help: "Open connections to replicas.",
 		}, func() float64 { return float64(d.backend.Connections()) }),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: "ebonylock", Name: "client_memory_bytes", Help: "Memory held for callers and other VMs beyond the share of each connection.",
-		}, func() float64 { return float64(d.clients.Used()) }),
-		prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Namespace: "ebonylock", Name: "client_memory_revoked_total", Help: "Connections and requests refused because the memory for clients ran out.",
-		}, func() float64 { return float64(d.clients.RevokedCount()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "ebonylock", Name: "log_lines_dropped_total", Help: "Log lines dropped for volume.",
 		}, func() float64 { return float64(d.spool.Dropped()) }),
 	)
+	d.clients.Register(reg)
 	d.forward.Register(reg)
 	d.follow.Register(reg)
 	d.gossip.Register(reg)
@@ -515,11 +510,12 @@
 	d.spool.Flush(flushTimeout)
 }
 
-// sweep closes idle connections, drops expired statistics and reports dropped log lines until ctx ends.
+// sweep closes idle connections, drops expired statistics and reports dropped log lines and refused clients until ctx
+// ends.
 func (d *Daemon) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	dropped := uint64(0)
+	var dropped, revoked uint64
 	for {
 		select {
 		case <-ctx.Done():
@@ -529,6 +525,7 @@
 			d.gather.CloseIdle(now)
 			d.forward.Forget(now.Add(-statsTTL))
 			dropped = d.reportDropped(dropped)
+			revoked = d.reportRevoked(revoked)
 		}
 	}
 }
@@ -541,3 +538,13 @@
 	}
 	return n
 }
+
+// reportRevoked logs how many clients were refused for lack of memory since the count was before, and returns the new
+// count.
+func (d *Daemon) reportRevoked(before uint64) uint64 {
+	n := d.clients.RevokedCount()
+	if n > before {
+		d.log.WithFields(logrus.Fields{"event": "client-memory", "refused": n - before, "limit": d.clients.Limit}).Warn("memory for clients exhausted; those that hold most and move least were refused")
+	}
+	return n
+}
