VM to VM: room for the connections of a whole fleet at once

An eighth of the descriptors instead of a thirty-second part for clients that have not shown a key yet: when a fleet starts, each VM connects to those that gather, and a slow one may have accepted hundreds before it reads the first frame.

--- a/modules/rationer/shares.go
+++ b/modules/rationer/shares.go
@@ -60,14 +60,15 @@
 
 // ConnectionLimits limits the connections of the clients of each listener.
 type ConnectionLimits struct {
-	// Callers is the limit of the listener for callers, and Others that of any other one.
-	Callers, Others int
+	// Callers is the limit of the listener for callers, Peers that of the listener for other VMs, and Others that of
+	// any other one.
+	Callers, Peers, Others int
 }
 
 const (
-	// othersPart is the part of the process's file descriptors that the connections of a listener may use which
-	// is not for callers.
-	othersPart = 1. / 32
+	// peersPart and othersPart are the parts of the process's file descriptors that the connections of these
+	// listeners may use.
+	peersPart, othersPart = 1. / 8, 1. / 32
 	// minOthers is the limit of such a listener in the smallest process.
 	minOthers = 4
 )
@@ -83,12 +84,13 @@
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &rlimit); err == nil && (descriptors == 0 || rlimit.Cur < descriptors) {
 		descriptors = rlimit.Cur
 	}
-	limits.Others = limits.Callers
+	limits.Peers, limits.Others = limits.Callers, limits.Callers
 	if descriptors > 0 {
 		limits.Callers = min(limits.Callers, int(callersPart*float64(descriptors)))
+		limits.Peers = min(limits.Peers, int(peersPart*float64(descriptors)))
 		limits.Others = min(limits.Others, int(othersPart*float64(descriptors)))
 	}
-	limits.Callers, limits.Others = max(limits.Callers, 1), max(limits.Others, minOthers)
+	limits.Callers, limits.Peers, limits.Others = max(limits.Callers, 1), max(limits.Peers, minOthers), max(limits.Others, minOthers)
 	return limits
 }
 
--- a/modules/rationer/shares_test.go
+++ b/modules/rationer/shares_test.go
@@ -18,7 +18,7 @@
 	}
 	smallest := Divide(184 * MiB)
 	is.True(smallest.LimitConnections(4100, 0.75).Callers > 1500)
-	is.Equal(Divide(536*MiB).LimitConnections(200, 0.75), ConnectionLimits{Callers: 150, Others: 6})
+	is.Equal(Divide(536*MiB).LimitConnections(200, 0.75), ConnectionLimits{Callers: 150, Peers: 25, Others: 6})
 	is.True(smallest.Clients > 16*MiB)           // the largest reply of a replica
 	is.Equal(Divide(0), Divide(machineMemory())) // without a setting, the memory of the machine
 }
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -182,7 +182,7 @@
 		return nil, err
 	}
 	calls.Memory = &d.clients
-	if err := d.startMembership(calls, bouncer.Limits{MaxConns: conns.Others, Memory: &d.clients, Buffers: accepter.Buffers{Receive: shares.Buffers().Receive}}); err != nil {
+	if err := d.startMembership(calls, bouncer.Limits{MaxConns: conns.Peers, Memory: &d.clients, Buffers: accepter.Buffers{Receive: shares.Buffers().Receive}}); err != nil {
 		return nil, err
 	}
 	d.relay.OnAcceptError = d.acceptPaused(linkListener)
