--- a/modules/bouncer/body.go
+++ b/modules/bouncer/body.go
@@ -5,8 +5,6 @@
 	"io"
 
 	"github.com/valyala/fasthttp"
-
-	"github.com/ebonylock/ebonylock/modules/rationer"
 )
 
 // ErrTooLarge is returned for a body that exceeds the limit.
@@ -71,8 +69,3 @@
 		}
 	}
 }
-
-// Refused reports whether err says that a request was refused for lack of memory.
-func Refused(err error) bool {
-	return errors.Is(err, rationer.ErrRevoked)
-}
--- a/tests/crowd/crowd_test.go
+++ b/tests/crowd/crowd_test.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -17,6 +16,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/ebonylock/ebonylock/tests/fleet"
 )
 
 const (
@@ -45,9 +46,7 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	cmd := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../../cmd/...", "../cmd/standin")
-	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
-	if err := cmd.Run(); err != nil {
+	if err := fleet.Build(dir); err != nil {
 		return 1
 	}
 	binDir = dir
--- a/tests/fleet/fleet.go
+++ b/tests/fleet/fleet.go
@@ -268,6 +268,13 @@
 	return w.Body.Close()
 }
 
+// Build builds the binaries of the system and of the stand-ins into dir. It must be called from a package in tests.
+func Build(dir string) error {
+	cmd := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../../cmd/...", "../cmd/standin")
+	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+	return cmd.Run()
+}
+
 // StartVM starts a VM's process. It does not wait until the VM is ready.
 func (f *Fleet) StartVM(vm *VM) error {
 	cmd := limitDescriptors(f.cfg.Descriptors, filepath.Join(f.cfg.Bin, "ebonylockd"), "serve", "--settings", "-")
--- a/tests/path/path_test.go
+++ b/tests/path/path_test.go
@@ -6,8 +6,6 @@
 	"encoding/json"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 
 	"github.com/matryer/is"
@@ -29,9 +27,7 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	cmd := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../../cmd/...", "../cmd/standin")
-	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
-	if err := cmd.Run(); err != nil {
+	if err := fleet.Build(dir); err != nil {
 		return 1
 	}
 	binDir = dir
