--- a/tests/crowd/callers_test.go
+++ b/tests/crowd/callers_test.go
@@ -109,6 +109,7 @@
 		{"chunk extensions", 60, []string{post("/write/x", chunked) + chunks(1<<10, 1, ";x="+strings.Repeat("y", 4000))}, false},
 		{"trailers", 60, []string{post("/write/x", chunked) + "1\r\nx\r\n0\r\n" + strings.Repeat("X: "+strings.Repeat("y", 4000)+"\r\n", 1<<10)}, false},
 		{"heads that stop short", 1200, []string{"GET /write/x HTTP/1.1\r\nHost: h.example\r\nX: " + strings.Repeat("y", maxHeader-1024)}, false},
+		{"heads of many fields", 300, []string{post("/write/x", length+strings.Repeat("\r\na:", maxHeader/4-512)) + body[:maxBody/2]}, false},
 		{"requests behind one in progress", 400, []string{get("/write/slow"), post("/write/x", length) + body, post("/write/x", length) + body[1:maxBody/2]}, false},
 		{"answers that are not read", 150, []string{get("/write/big")}, true},
 		{"many answers that are not read", 50, []string{strings.Repeat(get("/write/big"), 20)}, true},
