VM to VM: a stream that is closed is closed

What callers saw: nothing yet; found by reading. A VM kept the memory of a frame that stalls after it was revoked, and a stream whose write had failed, until the other end closed the connection.

Cause: the HTTP server's connection ignores Close until the function that took it over returns, and that one waits for bytes to read.

Change: the stream closes the connection below.

Result: TestClosedStreamIsClosed timed out before the change and passes.

--- a/services/relayer/relayer.go
+++ b/services/relayer/relayer.go
@@ -205,6 +205,11 @@
 	client *bouncer.Conn
 }
 
+// Close implements net.Conn. The HTTP server would close the connection only once OnStream returns.
+func (s stream) Close() error {
+	return s.client.Close()
+}
+
 // Trust marks the client as one that belongs to the fleet.
 func (s stream) Trust() {
 	s.client.Trust()
--- a/services/relayer/relayer_test.go
+++ b/services/relayer/relayer_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -249,3 +251,25 @@
 	is.NoErr(err)
 	is.Equal(len(r.losses), quarantiner.MaxReported)
 }
+
+// TestClosedStreamIsClosed guards against a stream that stays open until OnStream returns although it was closed: its
+// reader may wait for a client that sends nothing more.
+func TestClosedStreamIsClosed(t *testing.T) {
+	is := is.New(t)
+	s, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), keys, &replicator.Cache{}, bouncer.Limits{MaxConns: 8})
+	is.NoErr(err)
+	t.Cleanup(s.Close)
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	s.OnStream = func(c net.Conn) {
+		_ = c.Close()
+		<-release
+	}
+	go func() { _ = s.Serve() }()
+	c, err := DialStream(s.Addr(), &net.Dialer{})
+	is.NoErr(err)
+	t.Cleanup(func() { _ = c.Close() })
+	is.NoErr(c.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	_, err = c.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
