--- a/modules/bouncer/bouncer.go
+++ b/modules/bouncer/bouncer.go
@@ -83,6 +83,9 @@
 
 // victim returns the connection to close for the new one; nil if there is room. The caller must hold mu.
 func (l *Listener) victim(newest *Conn) *Conn {
+	if l.MaxConns <= 0 || len(l.conns) <= l.MaxConns {
+		return nil
+	}
 	var oldest *Conn
 	var since time.Time
 	n := 0
@@ -98,7 +101,7 @@
 			oldest, since = c, moved
 		}
 	}
-	if l.MaxConns <= 0 || n <= l.MaxConns {
+	if n <= l.MaxConns {
 		return nil
 	}
 	return oldest
