--- a/tests/fleet/fleet.go
+++ b/tests/fleet/fleet.go
@@ -268,11 +268,20 @@
 	return w.Body.Close()
 }
 
-// Build builds the binaries of the system and of the stand-ins into dir. It must be called from a package in tests.
-func Build(dir string) error {
+// RunWithBinaries builds the binaries of the system and of the stand-ins, calls run with their directory and returns its
+// result, or 1 if they can't be built. It must be called from a package in tests.
+func RunWithBinaries(run func(dir string) int) int {
+	dir, err := os.MkdirTemp("", "ebonylock")
+	if err != nil {
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
 	cmd := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../../cmd/...", "../cmd/standin")
 	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
-	return cmd.Run()
+	if err := cmd.Run(); err != nil {
+		return 1
+	}
+	return run(dir)
 }
 
 // StartVM starts a VM's process. It does not wait until the VM is ready.
--- a/tests/path/path_test.go
+++ b/tests/path/path_test.go
@@ -18,20 +18,10 @@
 var binDir string
 
 func TestMain(m *testing.M) {
-	os.Exit(buildAndRun(m))
-}
-
-func buildAndRun(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "ebonylock")
-	if err != nil {
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	if err := fleet.Build(dir); err != nil {
-		return 1
-	}
-	binDir = dir
-	return m.Run()
+	os.Exit(fleet.RunWithBinaries(func(dir string) int {
+		binDir = dir
+		return m.Run()
+	}))
 }
 
 func startFleet(t *testing.T, vms int) *fleet.Fleet {
