--- a/modules/decider/decider.go
+++ b/modules/decider/decider.go
@@ -47,6 +47,8 @@
 	// Cold means that all replicas are cold and have got as many requests as they may for now, or want
 	// none.
 	Cold = "replica-cold"
+	// Quarantined means that the request has crashed too many replicas.
+	Quarantined = "crashes-replicas"
 )
 
 const (
--- a/modules/quarantiner/quarantiner.go
+++ b/modules/quarantiner/quarantiner.go
@@ -1,10 +1,17 @@
 // Package quarantiner bounds the number of backend servers that one request can crash. A request
 // that was running when a server was lost is a suspect; a suspect that loses another server is
-// blocked. A request that has ever had a complete reply is known to be safe and never a suspect, so
-// that requests which happened to run beside the one that caused a crash are not blocked.
+// blocked.
 //
-// Requests that differ only in what says who sent them form a group. A group that is known to be safe
-// doesn't make its requests safe, but more losses are needed to block one of them.
+// A complete reply shows that the software that gave it, the Target, runs the request without harm.
+// It clears the request of the earlier losses of that target, and for a time one more loss is needed
+// to block it there. It says nothing about other targets, and does not outweigh losses that follow.
+//
+// Not every request that runs on a server that is lost is to blame:
+//   - Runs that overlap in time count as one loss, as they may have ended for the same reason.
+//   - A loss of a server that a blocked request was running on counts against no other request.
+//
+// Requests that differ only in what says who sent them form a group. A reply to one request of a
+// group clears no other one of losses, but one more loss is needed to block it.
 package quarantiner
 
 import (
@@ -28,15 +35,47 @@
 	return Fingerprint(h.Sum64())
 }
 
+// Target identifies the software that runs a request.
+type Target struct {
+	Service string
+	// Version is that of the software or the data of the service's servers. It may be empty.
+	Version string
+}
+
 // Loss is the loss of a server while it ran a request.
 type Loss struct {
 	Fingerprint Fingerprint
 	// Group identifies the group of the request; 0 if it has none.
-	Group Fingerprint
-	// GroupSafe is true if a request of the group is known to have had a complete reply.
-	GroupSafe bool
+	Group  Fingerprint
+	Target Target
 	// Server is the ID of the server.
 	Server string
+	// Began is the time at which the run began. It is not after At; zero means At.
+	Began time.Time
+	At    time.Time
+	// Answered is the last time up to At at which the target is known to have replied to the request,
+	// and GroupAnswered that for any request of the group. They are zero if there is none.
+	Answered, GroupAnswered time.Time
+}
+
+// MovedTo returns the loss with all its times moved so that it happened at the given time. It serves
+// to convert the times of another VM's clock.
+func (l Loss) MovedTo(at time.Time) Loss {
+	for _, t := range []*time.Time{&l.Began, &l.Answered, &l.GroupAnswered} {
+		if !t.IsZero() {
+			*t = at.Add(t.Sub(l.At))
+		}
+	}
+	l.At = at
+	return l
+}
+
+// Answer is a complete reply to a request.
+type Answer struct {
+	Fingerprint Fingerprint
+	// Group identifies the group of the request; 0 if it has none.
+	Group  Fingerprint
+	Target Target
 	At     time.Time
 }
 
@@ -46,24 +85,30 @@
 const (
 	// Allowed sets no restriction.
 	Allowed Verdict = iota
-	// Suspect allows one run at a time on one server.
+	// Suspect means that one more loss blocks the request.
 	Suspect
 	// Blocked allows no run.
 	Blocked
 )
 
+// String returns the name of the verdict, as used in logs.
+func (v Verdict) String() string {
+	return [...]string{"allowed", "suspect", "blocked"}[v]
+}
+
 const (
-	// blockAfter is the number of lost servers after which a request is blocked.
+	// blockAfter is the number of losses after which a request is blocked.
 	blockAfter = 2
-	// blockInSafeGroup is that number for a request of a safe group. Other requests of the group run
-	// beside the one that crashes servers, and would be blocked with it after two losses.
-	blockInSafeGroup = 3
 	// blockGroupAfter is the number of requests of a group that must each have lost another server
 	// before the whole group is blocked. It covers a request with a header field that differs in each
-	// attempt, as long as no request of the group has had a complete reply.
+	// attempt.
 	blockGroupAfter = 3
-	// maxLosses limits the losses that are kept of a request or group.
-	maxLosses = max(blockAfter, blockInSafeGroup, blockGroupAfter)
+	// provenExtra is the number of losses needed in addition if the target has replied to the request
+	// or to another one of its group. Such a request probably ran beside the one to blame.
+	provenExtra = 1
+	// maxLosses limits the losses that are kept of a request or group. There are more of them than
+	// needed to block it, as some overlap or are of other targets.
+	maxLosses = 8
 	// duplicateWindow is the longest time between two reports of the same loss. No server restarts
 	// in less, so that reports further apart are of different losses.
 	duplicateWindow = 100 * time.Millisecond
@@ -81,28 +126,10 @@
 	defaultRetention = 10 * time.Minute
 	// maxRecords limits the number of fingerprints with losses.
 	maxRecords = 4096
-	// maxSafe is the number of safe fingerprints at which the older half is dropped.
-	maxSafe = 1 << 16
 )
 
-// knownLoss is a loss with the time at which this VM learned of it.
-type knownLoss struct {
-	Loss
-	learned time.Time
-}
-
-type record struct {
-	// losses never holds more than maxLosses entries. In the record of a group they are of different
-	// requests and servers.
-	losses []knownLoss
-	// isGroup is true for the record of a group.
-	isGroup bool
-	// running is true while the only run of a suspect is in progress.
-	running bool
-}
-
-// Tracker records losses and the requests known to be safe. The zero value is ready for use. It is
-// safe for concurrent use.
+// Tracker records losses, and which targets have replied to which requests. The zero value is ready
+// for use. It is safe for concurrent use.
 type Tracker struct {
 	// Retention is the time for which a loss counts; 0 means 10 minutes.
 	Retention time.Duration
@@ -112,82 +139,114 @@
 	records map[Fingerprint]*record
 	// lastLearned is the last time at which a loss became known.
 	lastLearned time.Time
-	// safe and olderSafe hold the fingerprints known to be safe. A full safe replaces olderSafe.
-	safe, olderSafe map[Fingerprint]struct{}
+	// proofs holds the replies to requests and, under the fingerprint of the group, to any request of
+	// a group.
+	proofs proofTable
+	// blamed holds the servers that a blocked request has lost, with the times of the losses. It never
+	// holds more than maxRecords entries.
+	blamed map[string]time.Time
 }
 
-// MarkSafe records that f had a complete reply.
-func (r *Tracker) MarkSafe(f Fingerprint) {
+func (r *Tracker) retention() time.Duration {
+	return cmp.Or(r.Retention, defaultRetention)
+}
+
+// MarkAnswered records a complete reply to a request. It returns true if that clears a request that
+// was a suspect, which the other VMs should learn.
+func (r *Tracker) MarkAnswered(a Answer) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.markSafe(f)
+	suspect := r.verdict(a.Fingerprint, a.Target, a.At) != Allowed
+	r.prove(a.Group, a.Target, a.At)
+	return r.prove(a.Fingerprint, a.Target, a.At) && suspect
 }
 
-func (r *Tracker) markSafe(f Fingerprint) {
-	if _, ok := r.safe[f]; ok {
-		return
+// prove records that a target replied to f, and drops the earlier losses there. It returns true if
+// there were any. It does nothing if f or at is zero.
+func (r *Tracker) prove(f Fingerprint, t Target, at time.Time) bool {
+	if f == 0 || at.IsZero() {
+		return false
 	}
-	if len(r.safe) >= maxSafe/2 || r.safe == nil {
-		r.olderSafe = r.safe
-		r.safe = make(map[Fingerprint]struct{})
+	r.proofs.set(f, t, at)
+	return r.drop(f, func(l knownLoss) bool { return l.Target == t && !l.At.After(at) })
+}
+
+// drop removes the losses of f for which remove returns true. It returns true if there were any.
+func (r *Tracker) drop(f Fingerprint, remove func(knownLoss) bool) bool {
+	rec := r.records[f]
+	if rec == nil {
+		return false
+	}
+	before := len(rec.losses)
+	rec.losses = slices.DeleteFunc(rec.losses, remove)
+	if len(rec.losses) == 0 && !rec.running {
+		delete(r.records, f)
 	}
-	r.safe[f] = struct{}{}
-	delete(r.records, f)
+	return len(rec.losses) < before
 }
 
-// IsSafe reports whether f is known to have had a complete reply.
-func (r *Tracker) IsSafe(f Fingerprint) bool {
+// LastAnswer returns the last time at which a target is known to have replied to f, rounded down to
+// a second; zero if there is none. Replies long ago may be forgotten.
+func (r *Tracker) LastAnswer(f Fingerprint, t Target) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.isSafe(f)
+	return r.proofs.last(f, t)
 }
 
-func (r *Tracker) isSafe(f Fingerprint) bool {
-	if _, ok := r.safe[f]; ok {
-		return true
-	}
-	_, ok := r.olderSafe[f]
-	return ok
+// Proven reports whether a target has replied to f recently enough that f is believed to be harmless
+// there.
+func (r *Tracker) Proven(f Fingerprint, t Target, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.proofs.holds(f, t, now)
+}
+
+// HasLosses reports whether any loss of one of these fingerprints is recorded. If not, all verdicts
+// on them are Allowed.
+func (r *Tracker) HasLosses(list ...Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(list, func(f Fingerprint) bool { return r.records[f] != nil })
 }
 
-// Verdict returns whether and how f may run.
-func (r *Tracker) Verdict(f Fingerprint, now time.Time) Verdict {
+// Verdict returns whether and how f may run on a target.
+func (r *Tracker) Verdict(f Fingerprint, t Target, now time.Time) Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.verdict(f, now)
+	return r.verdict(f, t, now)
 }
 
-func (r *Tracker) verdict(f Fingerprint, now time.Time) Verdict {
+func (r *Tracker) verdict(f Fingerprint, t Target, now time.Time) Verdict {
+	keep := r.retention()
+	r.drop(f, func(l knownLoss) bool { return now.Sub(l.At) > keep })
 	rec := r.records[f]
-	if rec == nil {
+	if rec == nil || len(rec.losses) == 0 {
 		return Allowed
 	}
-	keep := cmp.Or(r.Retention, defaultRetention)
-	rec.losses = slices.DeleteFunc(rec.losses, func(l knownLoss) bool { return now.Sub(l.At) > keep })
-	n := len(rec.losses)
-	switch {
-	case n == 0:
-		if !rec.running {
-			delete(r.records, f)
-		}
-		return Allowed
-	case rec.isGroup:
-		if n >= blockGroupAfter {
-			return Blocked
-		}
-		return Allowed
-	case n >= blockInSafeGroup || n >= blockAfter && !r.isSafe(rec.losses[0].Group):
+	proven := r.proofs.holds(f, t, now)
+	limit := blockAfter
+	if rec.isGroup {
+		limit = blockGroupAfter
+	}
+	if proven || !rec.isGroup && r.proofs.holds(rec.losses[0].Group, t, now) {
+		limit += provenExtra
+	}
+	// The losses of other targets are no evidence against a request that this one has replied to.
+	switch n := rec.count(func(l knownLoss) bool { return !proven || l.Target == t }); {
+	case n >= limit:
 		return Blocked
+	case n == limit-1 && !rec.isGroup:
+		return Suspect
 	}
-	return Suspect
+	return Allowed
 }
 
 // TryAcquire claims the only run of a suspect. It returns false if a run is in progress or the
 // request is not a suspect.
-func (r *Tracker) TryAcquire(f Fingerprint, now time.Time) bool {
+func (r *Tracker) TryAcquire(f Fingerprint, t Target, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.verdict(f, now) != Suspect || r.records[f].running {
+	if r.verdict(f, t, now) != Suspect || r.records[f].running {
 		return false
 	}
 	r.records[f].running = true
@@ -200,6 +259,7 @@
 	defer r.mu.Unlock()
 	if rec := r.records[f]; rec != nil {
 		rec.running = false
+		r.drop(f, func(knownLoss) bool { return false })
 	}
 }
 
@@ -214,7 +274,7 @@
 func (r *Tracker) Merge(list []Loss, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	keep := cmp.Or(r.Retention, defaultRetention)
+	keep := r.retention()
 	for _, l := range list {
 		if now.Sub(l.At) <= keep {
 			r.add(l, now, mergeWindow)
@@ -225,36 +285,88 @@
 // add records a loss and returns true if it is new. Losses of the same server closer to each other than
 // window are the same one.
 func (r *Tracker) add(l Loss, learned time.Time, window time.Duration) bool {
-	if l.GroupSafe && l.Group != 0 {
-		r.markSafe(l.Group)
+	if l.Began.IsZero() {
+		l.Began = l.At
 	}
-	if r.isSafe(l.Fingerprint) {
-		return false
+	r.prove(l.Fingerprint, l.Target, l.Answered)
+	r.prove(l.Group, l.Target, l.GroupAnswered)
+	if !r.proofs.last(l.Fingerprint, l.Target).Before(l.At) {
+		return false // the target has replied since
 	}
 	rec := r.record(l.Fingerprint)
-	for _, known := range rec.losses {
-		if known.Server == l.Server && l.At.Sub(known.At).Abs() < window {
-			return false
-		}
+	if i := rec.find(l, window); i >= 0 {
+		rec.refine(i, l)
+		return false
 	}
 	if !rec.insert(knownLoss{l, learned}) {
 		return false
 	}
+	blocked := r.verdict(l.Fingerprint, l.Target, l.At) == Blocked
+	if r.isBlamed(l) && !blocked {
+		r.drop(l.Fingerprint, func(k knownLoss) bool { return k.Server == l.Server && k.At.Equal(l.At) })
+		return false
+	}
 	if learned.After(r.lastLearned) {
 		r.lastLearned = learned
 	}
-	if l.Group == 0 || r.isSafe(l.Group) {
-		return true
+	r.addToGroup(l, learned, window)
+	if blocked {
+		r.blame(l, rec.losses)
+	}
+	return true
+}
+
+// addToGroup records a loss for the group of its request, unless the group has one of the same request
+// or server, or a reply since.
+func (r *Tracker) addToGroup(l Loss, learned time.Time, window time.Duration) {
+	if l.Group == 0 || !r.proofs.last(l.Group, l.Target).Before(l.At) {
+		return
 	}
 	group := r.record(l.Group)
 	group.isGroup = true
-	for _, known := range group.losses {
-		if known.Fingerprint == l.Fingerprint || known.Server == l.Server && l.At.Sub(known.At).Abs() < window {
-			return true
+	if group.find(l, window) < 0 && !slices.ContainsFunc(group.losses, func(k knownLoss) bool { return k.Fingerprint == l.Fingerprint }) {
+		group.insert(knownLoss{l, learned})
+	}
+}
+
+// blame records that the request of l, which is blocked, is to blame for its losses. Other requests and
+// groups are cleared of the losses of the same servers, unless they are blocked as well.
+func (r *Tracker) blame(l Loss, losses []knownLoss) {
+	if r.blamed == nil {
+		r.blamed = make(map[string]time.Time)
+	}
+	for _, lost := range losses {
+		if len(r.blamed) >= maxRecords {
+			r.pruneBlamed(l.At)
+		}
+		if len(r.blamed) < maxRecords {
+			r.blamed[lost.Server] = lost.At
+		}
+	}
+	for f, rec := range r.records {
+		if f == l.Fingerprint || f == l.Group {
+			continue
+		}
+		i := slices.IndexFunc(rec.losses, func(k knownLoss) bool { return r.isBlamed(k.Loss) })
+		if i >= 0 && r.verdict(f, rec.losses[i].Target, l.At) != Blocked {
+			r.drop(f, func(k knownLoss) bool { return r.isBlamed(k.Loss) })
+		}
+	}
+}
+
+// isBlamed reports whether l is the loss of a server that a blocked request is to blame for.
+func (r *Tracker) isBlamed(l Loss) bool {
+	at, ok := r.blamed[l.Server]
+	return ok && l.At.Sub(at).Abs() < mergeWindow
+}
+
+// pruneBlamed drops the servers whose losses no longer count.
+func (r *Tracker) pruneBlamed(now time.Time) {
+	for server, at := range r.blamed {
+		if now.Sub(at) > r.retention() {
+			delete(r.blamed, server)
 		}
 	}
-	group.insert(knownLoss{l, learned})
-	return true
 }
 
 // record returns the record of f, and creates it if there is none.
@@ -273,26 +385,6 @@
 	return rec
 }
 
-// insert adds a loss, in place of the oldest one if there are maxLosses. It returns false if all of them
-// are newer.
-func (rec *record) insert(l knownLoss) bool {
-	if len(rec.losses) < maxLosses {
-		rec.losses = append(rec.losses, l)
-		return true
-	}
-	oldest := 0
-	for i := range rec.losses {
-		if rec.losses[i].At.Before(rec.losses[oldest].At) {
-			oldest = i
-		}
-	}
-	if !rec.losses[oldest].At.Before(l.At) {
-		return false
-	}
-	rec.losses[oldest] = l
-	return true
-}
-
 // evict drops a record without losses, or else the oldest one with a single loss, or else the oldest one.
 func (r *Tracker) evict() {
 	var oldest Fingerprint
@@ -309,12 +401,27 @@
 	delete(r.records, oldest)
 }
 
-// goesBefore reports whether rec is dropped before other. Both have losses.
-func (rec *record) goesBefore(other *record) bool {
-	if several := len(rec.losses) > 1; several != (len(other.losses) > 1) {
-		return !several
+// LossesOf returns the losses of f that count at now, in the order of their times.
+func (r *Tracker) LossesOf(f Fingerprint, now time.Time) []Loss {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.records[f]
+	if rec == nil {
+		return nil
 	}
-	return rec.losses[0].At.Before(other.losses[0].At)
+	return r.appendReports(nil, rec, func(l knownLoss) bool { return now.Sub(l.At) <= r.retention() })
+}
+
+// appendReports appends the losses of rec that report selects to out, with the last replies known.
+func (r *Tracker) appendReports(out []Loss, rec *record, report func(knownLoss) bool) []Loss {
+	for _, l := range rec.losses {
+		if report(l) {
+			l.Answered = r.proofs.upTo(l.Fingerprint, l.Target, l.At)
+			l.GroupAnswered = r.proofs.upTo(l.Group, l.Target, l.At)
+			out = append(out, l.Loss)
+		}
+	}
+	return out
 }
 
 // Losses returns losses that count at now, to report them to another VM: all of them, or those of which this
@@ -330,22 +437,19 @@
 	case now.Sub(r.lastLearned) > recentTime:
 		return nil
 	}
+	keep := r.retention()
 	var several, single []Loss
-	for f, rec := range r.records {
-		if r.verdict(f, now) == Allowed || rec.isGroup {
+	for _, rec := range r.records {
+		if rec.isGroup {
 			continue
 		}
-		for _, l := range rec.losses {
-			if !all && now.Sub(l.learned) > recentTime {
-				continue
-			}
-			l.GroupSafe = r.isSafe(l.Group)
-			if len(rec.losses) > 1 {
-				several = append(several, l.Loss)
-			} else {
-				single = append(single, l.Loss)
-			}
+		list := &single
+		if len(rec.losses) > 1 {
+			list = &several
 		}
+		*list = r.appendReports(*list, rec, func(l knownLoss) bool {
+			return now.Sub(l.At) <= keep && (all || now.Sub(l.learned) <= recentTime)
+		})
 	}
 	for _, list := range [][]Loss{several, single} {
 		slices.SortFunc(list, func(a, b Loss) int {
--- a/modules/quarantiner/quarantiner_test.go
+++ b/modules/quarantiner/quarantiner_test.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -33,7 +34,7 @@
 			for _, l := range tc.losses {
 				r.Report(l)
 			}
-			is.Equal(r.Verdict(1, epoch.Add(tc.at)), tc.want)
+			is.Equal(r.Verdict(1, Target{}, epoch.Add(tc.at)), tc.want)
 		})
 	}
 }
@@ -41,24 +42,24 @@
 func TestSuspectRunsAlone(t *testing.T) {
 	is := is.New(t)
 	var r Tracker
-	is.True(!r.TryAcquire(1, epoch)) // not a suspect
+	is.True(!r.TryAcquire(1, Target{}, epoch)) // not a suspect
 	r.Report(Loss{Fingerprint: 1, Server: "a", At: epoch})
-	is.True(r.TryAcquire(1, epoch))
-	is.True(!r.TryAcquire(1, epoch))
+	is.True(r.TryAcquire(1, Target{}, epoch))
+	is.True(!r.TryAcquire(1, Target{}, epoch))
 	r.Release(1)
-	is.True(r.TryAcquire(1, epoch))
+	is.True(r.TryAcquire(1, Target{}, epoch))
 }
 
 // TestBystander checks that a request known to be safe does not become a suspect after a crash.
 func TestBystander(t *testing.T) {
 	is := is.New(t)
 	var r Tracker
-	r.MarkSafe(1)
+	r.MarkAnswered(Answer{Fingerprint: 1, At: epoch})
 	is.True(!r.Report(Loss{Fingerprint: 1, Server: "a", At: epoch}))
-	is.Equal(r.Verdict(1, epoch), Allowed)
+	is.Equal(r.Verdict(1, Target{}, epoch), Allowed)
 	r.Report(Loss{Fingerprint: 2, Server: "a", At: epoch})
-	r.MarkSafe(2)
-	is.Equal(r.Verdict(2, epoch), Allowed) // a complete reply clears a suspect
+	r.MarkAnswered(Answer{Fingerprint: 2, At: epoch})
+	is.Equal(r.Verdict(2, Target{}, epoch), Allowed) // a complete reply clears a suspect
 }
 
 func TestBounds(t *testing.T) {
@@ -68,10 +69,19 @@
 		r.Report(Loss{Fingerprint: i, Server: "a", At: epoch.Add(time.Duration(i))})
 	}
 	is.Equal(len(r.records), maxRecords)
-	for i := range Fingerprint(3 * maxSafe) {
-		r.MarkSafe(i)
+	for i := range Fingerprint(3 * maxProofs) {
+		r.MarkAnswered(Answer{Fingerprint: i + 1, At: epoch})
 	}
-	is.True(len(r.safe)+len(r.olderSafe) <= maxSafe)
+	is.Equal(len(r.proofs.entries), maxProofs)
+	r = Tracker{}
+	for i := range 2 * maxRecords {
+		for f := range Fingerprint(blockAfter) {
+			at := epoch.Add(time.Duration(i)*time.Second + time.Duration(f)*time.Millisecond)
+			r.Report(Loss{Fingerprint: 1 << 40, Server: strconv.Itoa(2*i + int(f)), At: at})
+		}
+	}
+	is.True(len(r.blamed) <= maxRecords)
+	is.Equal(len(r.records[1<<40].losses), maxLosses)
 }
 
 // TestCrashingRequestInSafeGroup guards against a request that crashes servers and is never blocked because others
@@ -79,18 +89,18 @@
 func TestCrashingRequestInSafeGroup(t *testing.T) {
 	is := is.New(t)
 	var r Tracker
-	r.MarkSafe(9)
+	r.MarkAnswered(Answer{Fingerprint: 3, Group: 9, At: epoch.Add(-time.Second)})
 	for i, server := range []string{"a", "b", "c"} {
-		is.Equal(r.Verdict(1, epoch) == Blocked, false)
+		is.Equal(r.Verdict(1, Target{}, epoch) == Blocked, false)
 		is.True(r.Report(Loss{Fingerprint: 1, Group: 9, Server: server, At: epoch}))
 		if i < 2 { // others ran beside it
 			is.True(r.Report(Loss{Fingerprint: 2, Group: 9, Server: server, At: epoch}))
 		}
 	}
-	r.MarkSafe(9) // by another request
-	is.Equal(r.Verdict(1, epoch), Blocked)
+	r.MarkAnswered(Answer{Fingerprint: 3, Group: 9, At: epoch}) // to another request
+	is.Equal(r.Verdict(1, Target{}, epoch), Blocked)
 	for _, f := range []Fingerprint{2, 3, 9} {
-		is.True(r.Verdict(f, epoch) != Blocked)
+		is.True(r.Verdict(f, Target{}, epoch) != Blocked)
 	}
 }
 
@@ -113,9 +123,9 @@
 			for i, f := range tc.requests {
 				r.Report(Loss{Fingerprint: f, Group: 9, Server: tc.servers[i], At: epoch})
 			}
-			is.Equal(r.Verdict(9, epoch), tc.want)
-			r.Report(Loss{Fingerprint: 4, Group: 9, GroupSafe: true, Server: "d", At: epoch})
-			is.Equal(r.Verdict(9, epoch), Allowed)
+			is.Equal(r.Verdict(9, Target{}, epoch), tc.want)
+			r.Report(Loss{Fingerprint: 4, Group: 9, GroupAnswered: epoch, Server: "d", At: epoch})
+			is.Equal(r.Verdict(9, Target{}, epoch), Allowed)
 		})
 	}
 }
@@ -128,7 +138,7 @@
 	for i, server := range []string{"a", "b"} {
 		old.Report(Loss{Fingerprint: 1, Group: 9, Server: server, At: epoch.Add(time.Duration(i))})
 	}
-	old.Report(Loss{Fingerprint: 2, Group: 8, Server: "a", At: epoch})
+	old.Report(Loss{Fingerprint: 2, Group: 8, Server: "c", At: epoch})
 	now := epoch.Add(time.Minute)
 	is.Equal(len(old.Losses(false, now)), 0)
 	list := old.Losses(true, now)
@@ -139,14 +149,14 @@
 			list[i].At = list[i].At.Add(500 * time.Millisecond) // time on the way
 		}
 	}
-	is.Equal(started.Verdict(1, now), Blocked)
-	is.Equal(started.Verdict(2, now), Suspect)
+	is.Equal(started.Verdict(1, Target{}, now), Blocked)
+	is.Equal(started.Verdict(2, Target{}, now), Suspect)
 	third.Merge(started.Losses(false, now), now) // it passes on what it has just learned
-	is.Equal(third.Verdict(1, now), Blocked)
+	is.Equal(third.Verdict(1, Target{}, now), Blocked)
 	is.Equal(len(started.Losses(false, now.Add(time.Minute))), 0)
-	is.Equal(third.Verdict(1, epoch.Add(defaultRetention+time.Minute)), Allowed) // age is kept on the way
+	is.Equal(third.Verdict(1, Target{}, epoch.Add(defaultRetention+time.Minute)), Allowed) // age is kept on the way
 	old.Merge([]Loss{{Fingerprint: 5, Server: "a", At: now.Add(-time.Hour)}}, now)
-	is.Equal(old.Verdict(5, now), Allowed)
+	is.Equal(old.Verdict(5, Target{}, now), Allowed)
 }
 
 // TestBlockedRequestIsKept guards against the record of a crashing request being pushed out by the losses of many
@@ -160,7 +170,7 @@
 	for i := range Fingerprint(maxRecords + 10) {
 		r.Report(Loss{Fingerprint: i + 10, Server: "c", At: epoch.Add(time.Duration(i))})
 	}
-	is.Equal(r.Verdict(1, epoch), Blocked)
+	is.Equal(r.Verdict(1, Target{}, epoch), Blocked)
 	is.Equal(len(r.Losses(true, epoch.Add(time.Second))), MaxReported)
 	is.Equal(len(r.Losses(false, epoch.Add(time.Second))), maxRecent)
 }
--- a/modules/registrar/registrar.go
+++ b/modules/registrar/registrar.go
@@ -14,8 +14,10 @@
 	// ID is unique, except that a server may restart under the same ID.
 	ID string
 	// StartedAt is the start time of the process; zero if it is not known.
-	StartedAt  time.Time
-	Service    string
+	StartedAt time.Time
+	Service   string
+	// Version is the version of its software.
+	Version    string
 	DataCentre string
 	Addr       netip.AddrPort
 	// Slots is the number of requests that it runs concurrently, at least 1.
--- a/services/dispatcher/dispatcher.go
+++ b/services/dispatcher/dispatcher.go
@@ -29,17 +29,20 @@
 // Quarantine tracks backend servers that were lost while they ran a request, and limits how
 // the requests under suspicion may run.
 type Quarantine interface {
-	// Verdict returns how a request may be run.
-	Verdict(f quarantiner.Fingerprint, now time.Time) quarantiner.Verdict
+	// Verdict returns how a request may be run by a target.
+	Verdict(f quarantiner.Fingerprint, t quarantiner.Target, now time.Time) quarantiner.Verdict
 	// TryAcquire claims the only run that a suspect request may have at a time. It returns false
 	// if the request is already running or is blocked.
-	TryAcquire(f quarantiner.Fingerprint, now time.Time) bool
+	TryAcquire(f quarantiner.Fingerprint, t quarantiner.Target, now time.Time) bool
 	// Release ends the claim made by TryAcquire.
 	Release(f quarantiner.Fingerprint)
 	// Report adds a loss and returns true if it is new.
 	Report(l quarantiner.Loss) bool
-	// MarkSafe records that a request got a complete reply.
-	MarkSafe(f quarantiner.Fingerprint)
+	// LastAnswer returns the last time at which a target replied to a request; zero if it is not known to
+	// have replied.
+	LastAnswer(f quarantiner.Fingerprint, t quarantiner.Target) time.Time
+	// MarkAnswered records a complete reply. It returns true if the reply clears a suspect.
+	MarkAnswered(a quarantiner.Answer) bool
 }
 
 // Config configures a Dispatcher. Zero durations take the defaults.
@@ -181,7 +184,7 @@
 		s.replyWithGenerations(t)
 		return
 	}
-	if d.quarantine.Verdict(t.request.Fingerprint, now) == quarantiner.Blocked {
+	if d.quarantine.Verdict(t.request.Fingerprint, t.request.Target(), now) == quarantiner.Blocked {
 		t.fail(notRun(ErrQuarantined), 0)
 		return
 	}
@@ -220,8 +223,15 @@
 func (d *Dispatcher) run(s *server, t *task) {
 	defer d.startQueued(s)
 	started := time.Now()
-	suspect := d.quarantine.Verdict(t.request.Fingerprint, started) == quarantiner.Suspect
-	if suspect && !d.quarantine.TryAcquire(t.request.Fingerprint, started) {
+	verdict := d.quarantine.Verdict(t.request.Fingerprint, t.request.Target(), started)
+	if verdict == quarantiner.Blocked {
+		// It was blocked while it was queued.
+		s.finish(limiter.Neutral, 0, "")
+		t.fail(notRun(ErrQuarantined), s.load())
+		return
+	}
+	suspect := verdict == quarantiner.Suspect
+	if suspect && !d.quarantine.TryAcquire(t.request.Fingerprint, t.request.Target(), started) {
 		s.finish(limiter.Neutral, 0, "")
 		t.fail(notRun(ErrSuspectRunning), s.load())
 		return
@@ -283,7 +293,7 @@
 	took := time.Since(started)
 	s.updateGenerations(reply)
 	if err == nil {
-		d.quarantine.MarkSafe(t.request.Fingerprint)
+		d.quarantine.MarkAnswered(quarantiner.Answer{Fingerprint: t.request.Fingerprint, Target: t.request.Target(), At: time.Now()})
 		s.finish(limiter.Done, took, reply.BootID)
 		t.finish(Event{Index: t.index, Kind: Done, Reply: reply, Load: s.load()})
 		return
@@ -291,7 +301,7 @@
 	d.metrics.failures.WithLabelValues(Code(err)).Inc()
 	outcome := outcomeOf(err)
 	if outcome == limiter.Lost {
-		d.recordLoss(s, t, err)
+		d.recordLoss(s, t, started, err)
 	}
 	if errors.Is(err, executor.ErrDraining) {
 		d.markDraining(s)
@@ -322,18 +332,22 @@
 
 // recordLoss records that a server has become unreachable. If its connection was lost during
 // the run of t, it also reports the loss to the quarantine.
-func (d *Dispatcher) recordLoss(s *server, t *task, err error) {
+func (d *Dispatcher) recordLoss(s *server, t *task, started time.Time, err error) {
 	now := time.Now()
 	d.ring.Record(now, recorder.ServerCold, s.info.ID, Code(err))
 	if t.request.Fingerprint == 0 || !errors.Is(err, executor.ErrLost) {
 		return
 	}
-	loss := quarantiner.Loss{Fingerprint: t.request.Fingerprint, Server: s.info.ID, At: now}
+	target := t.request.Target()
+	loss := quarantiner.Loss{
+		Fingerprint: t.request.Fingerprint, Target: target, Server: s.info.ID, Began: started, At: now,
+		Answered: d.quarantine.LastAnswer(t.request.Fingerprint, target),
+	}
 	if !d.quarantine.Report(loss) {
 		return
 	}
 	kind := recorder.RequestSuspect
-	if d.quarantine.Verdict(loss.Fingerprint, now) == quarantiner.Blocked {
+	if d.quarantine.Verdict(loss.Fingerprint, target, now) == quarantiner.Blocked {
 		kind = recorder.RequestQuarantined
 	}
 	d.ring.Record(now, kind, s.info.ID, "server lost while it ran the request")
--- a/services/dispatcher/dispatcher_test.go
+++ b/services/dispatcher/dispatcher_test.go
@@ -268,3 +268,75 @@
 		})
 	}
 }
+
+// TestAnsweredRequestIsBlocked guards against a request that servers have answered and that crashes them without limit
+// once they hold another generation, and against its run if it is blocked while it is queued.
+func TestAnsweredRequestIsBlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeServer{held: []executor.Generation{{Number: 1}, {Number: 2}}}
+		f.run = func(r executor.Request) (executor.Reply, error) {
+			f.simulateRun(10 * time.Millisecond)
+			time.Sleep(10 * time.Millisecond)
+			if r.Generation == 2 {
+				return executor.Reply{}, errors.Join(executor.ErrUnknownOutcome, executor.ErrLost)
+			}
+			return executor.Reply{Generation: 1}, nil
+		}
+		v := newVM(f)
+		v.ownAndOpen()
+		send := func(generation uint64, n int) []Event {
+			batch := make([]Subrequest, n)
+			for i := range batch {
+				batch[i] = newSubrequest(10 * time.Second)
+				batch[i].Generation, batch[i].Fingerprint = generation, 1
+			}
+			var mu sync.Mutex
+			var out []Event
+			_ = v.Dispatch(context.Background(), batch, nil, func(e Event) {
+				mu.Lock()
+				defer mu.Unlock()
+				out = append(out, e)
+			})
+			time.Sleep(time.Second)
+			return out
+		}
+		is.NoErr(send(1, 1)[0].Err)
+		for range 4 {
+			send(2, 1)
+		}
+		started, _ := f.counts()
+		is.Equal(started, 1+2)
+		is.True(errors.Is(send(2, 1)[0].Err, ErrQuarantined))
+		is.NoErr(send(1, 1)[0].Err) // generation 1 has answered it
+	})
+}
+
+// TestQueuedRequestIsBlocked guards against the run of a request that is blocked while it waits in the queue.
+func TestQueuedRequestIsBlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeServer{held: []executor.Generation{{Number: 1}}}
+		f.run = func(executor.Request) (executor.Reply, error) {
+			f.simulateRun(100 * time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
+			return executor.Reply{Generation: 1}, nil
+		}
+		v := newVM(f)
+		v.ownAndOpen()
+		go v.dispatchAll(4, 10*time.Second) // takes the slots
+		time.Sleep(10 * time.Millisecond)
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			for _, server := range []string{"x", "y"} {
+				v.quarantine.Report(quarantiner.Loss{Fingerprint: 1, Server: server, At: time.Now()})
+			}
+		}()
+		s := newSubrequest(10 * time.Second)
+		s.Fingerprint = 1
+		var got Event
+		_ = v.Dispatch(context.Background(), []Subrequest{s}, nil, func(e Event) { got = e })
+		is.True(errors.Is(got.Err, ErrQuarantined))
+		time.Sleep(time.Second) // until the others have run
+	})
+}
--- a/services/dispatcher/types.go
+++ b/services/dispatcher/types.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/ebonylock/ebonylock/modules/executor"
@@ -57,6 +58,17 @@
 	Fingerprint quarantiner.Fingerprint
 }
 
+// Target returns what runs the request, as the quarantine distinguishes it. Servers don't state the version
+// of their software, but what a request meets there changes with the index generation.
+func (s *Subrequest) Target() quarantiner.Target {
+	return TargetOf(s.Service, s.Generation)
+}
+
+// TargetOf returns the Target of requests that read a generation of a service.
+func TargetOf(service string, generation uint64) quarantiner.Target {
+	return quarantiner.Target{Service: service, Version: strconv.FormatUint(generation, 10)}
+}
+
 // EventKind is the kind of an Event.
 type EventKind int
 
--- a/services/forwarder/attempt.go
+++ b/services/forwarder/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ebonylock/ebonylock/modules/gatekeeper"
+	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/ranker"
 	"github.com/ebonylock/ebonylock/modules/registrar"
 )
@@ -24,7 +25,8 @@
 	cold bool
 	// sent is the time at which the request was about to be written; zero if it was not written.
 	sent time.Time
-	// closed is true if the request was not written because the replica wants no more requests.
+	// closed is true if the request was not written because the replica wants no more requests, or not
+	// this one.
 	closed bool
 	// took and end are set when the flight handles the result.
 	took time.Duration
@@ -58,7 +60,8 @@
 		a.part.budget.Refund(a.extra, now)
 		return false
 	}
-	// While the request waited, the replica may have left, or said that it leaves or wants a pause.
+	// While the request waited, the replica may have left, or said that it leaves or wants a pause, and the
+	// request may have been blocked.
 	gone := false
 	if v := a.fl.f.states.State().View; v != a.view {
 		gone = !v.Has(a.part.service, a.to.Key)
@@ -68,6 +71,11 @@
 		a.part.budget.Refund(a.extra, now)
 		return false
 	}
+	if fl := a.fl; fl.f.suspected(fl.identity) && fl.f.verdict(fl.identity, a.to, now) == quarantiner.Blocked {
+		a.closed = true
+		a.part.budget.Refund(a.extra, now)
+		return false
+	}
 	if a.cold && now.Sub(a.began) > maxColdWait && !a.fl.f.cold.Begin(a.to.Key, a.fl.coldLimit(a.part, a.to, now), now) {
 		a.closed = true
 		a.part.budget.Refund(a.extra, now)
@@ -99,7 +107,7 @@
 	change := fl.f.ranks.End(a.to.Key, a.part.work, run, now)
 	fl.f.logReplicaChange(a, change, err)
 	if errors.Is(err, ErrConnLost) && !fl.callerLeft() {
-		go fl.f.checkCrash(a.to, fl.identity, now)
+		go a.checkCrash(now)
 	}
 	fl.inbox.add(result{attempt: a, reply: reply, err: err, at: now})
 }
--- a/services/forwarder/call.go
+++ b/services/forwarder/call.go
@@ -161,7 +161,7 @@
 	for _, p := range fl.parts {
 		p.sent, p.ran = c.PriorAttempts, c.PriorAttempts
 	}
-	if f.quarantined(fl.identity, c.Arrived) {
+	if f.quarantined(fl.identity, state.View, c.Shards, 1, c.Arrived) {
 		emit(Partial{Final: true, Reasons: []string{outcomeQuarantined}})
 		return
 	}
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -101,8 +101,6 @@
 	timer *time.Timer
 	// identity is the same for requests that look identical to a replica.
 	identity identity
-	// provenSafe is true once a reply has shown that the request does not crash replicas.
-	provenSafe bool
 	// fanout is set when other VMs gather the parts.
 	fanout *fanout
 	// anyRan is true once an attempt that may have run has ended.
@@ -368,14 +366,17 @@
 		p.ran++
 		fl.anyRan = true
 	}
+	answered := r.err == nil && r.reply.Success()
+	if answered {
+		fl.markAnswered(r.attempt, r.at)
+	}
 	if p.done {
 		return
 	}
-	if r.err == nil && r.reply.Success() {
+	if answered {
 		p.reply, p.done = r.reply, true
 		fl.replied++
 		fl.done++
-		fl.markSafe()
 		p.notNeeded.Store(true)
 		return
 	}
--- a/services/forwarder/forwarder.go
+++ b/services/forwarder/forwarder.go
@@ -45,8 +45,10 @@
 	Quarantine Quarantine
 	// SharedStats are the observations of other VMs about replicas; may be nil.
 	SharedStats ranker.SharedEvidence
-	// Announce informs the other VMs of a loss; may be nil.
-	Announce func(l quarantiner.Loss)
+	// Announce informs the other VMs of the losses of a request, and AnnounceAnswer of a reply that clears
+	// a request of losses; may be nil.
+	Announce       func(list []quarantiner.Loss)
+	AnnounceAnswer func(a quarantiner.Answer)
 	// AnnounceLeaver informs the other VMs of a replica that has said that it leaves, named by the hash
 	// of its key; may be nil.
 	AnnounceLeaver func(replica uint64, now time.Time)
@@ -139,10 +141,6 @@
 	if m == nil {
 		return f.withRecord(nil, r, Response{Status: http.StatusNotFound}, outcomeNoRoute)
 	}
-	id := identify(r)
-	if f.quarantined(id, r.Arrived) {
-		return f.withRecord(nil, r, notRunResponse(0), outcomeQuarantined)
-	}
 	callerTimeout := r.CallerTimeout
 	if callerTimeout <= 0 {
 		callerTimeout = defaultCallerTimeout
@@ -150,6 +148,15 @@
 	if !f.endsInTime(m.Name, r.Arrived, min(callerTimeout, m.Timeout)) {
 		return f.Refuse(r)
 	}
+	n := len(m.Shards)
+	services, minParts := m.Shards, decider.MinShards(m.MinShardShare, n)
+	if n == 0 {
+		services, minParts = []string{m.Service()}, 1
+	}
+	id := identify(r)
+	if f.quarantined(id, state.View, services, minParts, r.Arrived) {
+		return f.withRecord(nil, r, notRunResponse(0), outcomeQuarantined)
+	}
 	timeUsed := f.timeUsed(m.Route, r, callerTimeout)
 	fl := &flight{
 		f:        f,
@@ -169,14 +176,13 @@
 	routeDurations := f.routeDurations(m.Name)
 	inProgress := routeDurations.begin(r.Arrived)
 	var resp Response
-	n := len(m.Shards)
 	switch sel := f.selection(state, m.Shards); {
 	case n == 0:
-		resp = fl.single(m.Service())
+		resp = fl.single(services[0])
 	case sel.Direct:
-		resp = fl.gather(m.Shards, decider.MinShards(m.MinShardShare, n))
+		resp = fl.gather(services, minParts)
 	default:
-		resp = newFanout(fl, sel, decider.MinShards(m.MinShardShare, n)).run()
+		resp = newFanout(fl, sel, minParts).run()
 	}
 	routeDurations.end(inProgress, ctx.Err() == nil && resp.Status != http.StatusServiceUnavailable, time.Now())
 	return f.withRecord(fl, r, resp, fl.outcome(&resp))
--- a/services/forwarder/forwarder_test.go
+++ b/services/forwarder/forwarder_test.go
@@ -631,7 +631,7 @@
 	}, func(is *is.I, f *Forwarder, b *fakeBackend) {
 		var losses, elsewhere quarantiner.Tracker
 		f.cfg.Quarantine = &losses
-		f.cfg.Announce = func(l quarantiner.Loss) { elsewhere.Report(l) }
+		f.cfg.Announce = func(list []quarantiner.Loss) { elsewhere.Merge(list, time.Now()) }
 		ask := func(path string) Response {
 			a := f.Serve(context.Background(), request(path, time.Second))
 			synctest.Wait()
@@ -657,15 +657,24 @@
 		is.Equal(a.Status, http.StatusServiceUnavailable)
 		is.Equal(b.total(), before)
 		fp := quarantiner.FingerprintOf("GET h/read/poison", nil)
-		is.Equal(elsewhere.Verdict(fp, time.Now()), quarantiner.Blocked) // other VMs know
-		// A request that ever got a reply is never quarantined because of crashes during its
-		// runs.
+		is.Equal(elsewhere.Verdict(fp, quarantiner.Target{Service: "single"}, time.Now()), quarantiner.Blocked) // other VMs know
+		// A request that gets replies between the crashes during its runs is never quarantined.
 		for range 3 {
+			poison = true
 			ask("/read/harmless")
 			time.Sleep(time.Second)
+			poison = false
+			is.Equal(ask("/read/harmless").Status, 200)
 		}
-		poison = false
-		is.Equal(ask("/read/harmless").Status, 200)
+		// One that gets none any more is, although it has had some.
+		poison = true
+		for range 3 {
+			ask("/read/harmless")
+			time.Sleep(time.Second)
+		}
+		before = b.total()
+		is.Equal(ask("/read/harmless").Status, http.StatusServiceUnavailable)
+		is.Equal(b.total(), before)
 	})
 }
 
--- a/services/forwarder/policy.go
+++ b/services/forwarder/policy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ebonylock/ebonylock/modules/decider"
+	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/registrar"
 )
 
@@ -12,6 +13,17 @@
 type choice struct {
 	*decider.Replica
 	to *registrar.Candidate
+	// verdict is that of the quarantine for the replica. If there is none, it is Blocked if the quarantine
+	// excludes all replicas that were not tried.
+	verdict quarantiner.Verdict
+}
+
+// missing returns the reason why there is no replica.
+func (c choice) missing(reason string) string {
+	if c.verdict == quarantiner.Blocked {
+		return decider.Quarantined
+	}
+	return reason
 }
 
 // bestReplica returns the replica with the lowest cost that is not in tried.
@@ -19,10 +31,21 @@
 	f := fl.f
 	var best choice
 	var lowest time.Duration
+	suspected := f.suspected(fl.identity)
 	for _, c := range p.list {
 		if slices.Contains(tried, c.ID) {
 			continue
 		}
+		verdict := quarantiner.Allowed
+		if suspected {
+			verdict = f.verdict(fl.identity, c, now)
+		}
+		if verdict == quarantiner.Blocked {
+			if best.Replica == nil {
+				best.verdict = verdict
+			}
+			continue
+		}
 		r := decider.Replica{
 			Estimate: f.ranks.Estimate(c.Key, c.Slots, p.work, now), Conns: p.conns, Missing: c.Missing,
 			Remote: c.DataCentre != f.cfg.DataCentre, LimitedCold: p.limitedCold(c, now),
@@ -33,7 +56,7 @@
 		}
 		if cost := r.Cost(p.work.TargetLatency); best.Replica == nil || cost < lowest {
 			chosen := r // only the best ones are allocated
-			best, lowest = choice{&chosen, c}, cost
+			best, lowest = choice{&chosen, c, verdict}, cost
 		}
 	}
 	return best
@@ -57,6 +80,9 @@
 	for i, d := range decider.PlanParts(best, need, fl.times(now)) {
 		if d.Reason != "" {
 			fl.parts[i].roomAfter = d.RoomAfter
+			if best[i] == nil {
+				d.Reason = choices[i].missing(d.Reason)
+			}
 			fl.giveUp(fl.parts[i], d.Reason)
 		}
 	}
@@ -86,8 +112,14 @@
 		Tried: len(p.tried), Running: p.ran + p.inFlight, NotRun: p.notRun, MaxAttempts: fl.route.MaxAttempts,
 		Required: c.Replica != nil && fl.required(p, c.Replica, now),
 	}
-	if reason := a.Decline(fl.times(now)); reason != "" {
+	switch reason := a.Decline(fl.times(now)); {
+	case c.Replica == nil:
+		return c.missing(reason)
+	case reason != "":
 		return reason
+	case hedge && c.verdict == quarantiner.Suspect:
+		// It would crash a second replica before the loss of the first shows.
+		return decider.Quarantined
 	}
 	if a.Extra && !p.budget.Withdraw(now) {
 		return decider.Budget
--- a/services/forwarder/record.go
+++ b/services/forwarder/record.go
@@ -23,7 +23,7 @@
 	outcomeCallerLeft  = "caller-left"
 	outcomeNoRoute     = "no-route"
 	outcomeNoConfig    = "no-configuration"
-	outcomeQuarantined = "crashes-replicas"
+	outcomeQuarantined = decider.Quarantined
 	outcomeStopping    = "stopping"
 )
 
--- a/services/forwarder/types.go
+++ b/services/forwarder/types.go
@@ -154,12 +154,17 @@
 
 // Quarantine tracks the requests that have crashed replicas, over all VMs.
 type Quarantine interface {
-	// Verdict returns whether, and how, a request may be run.
-	Verdict(f quarantiner.Fingerprint, now time.Time) quarantiner.Verdict
-	// IsSafe returns whether a request, or one of a group, is known to have got a complete reply.
-	IsSafe(f quarantiner.Fingerprint) bool
-	// MarkSafe records that a request, or one of a group, got a complete reply.
-	MarkSafe(f quarantiner.Fingerprint)
+	// HasLosses returns whether any loss of one of these requests or groups is recorded.
+	HasLosses(list ...quarantiner.Fingerprint) bool
+	// Verdict returns whether, and how, a request may be run by a target.
+	Verdict(f quarantiner.Fingerprint, t quarantiner.Target, now time.Time) quarantiner.Verdict
+	// Proven reports whether a target has replied to a request recently enough that it is believed to be
+	// harmless there.
+	Proven(f quarantiner.Fingerprint, t quarantiner.Target, now time.Time) bool
+	// MarkAnswered records a complete reply. It returns true if the other VMs should learn of it.
+	MarkAnswered(a quarantiner.Answer) bool
+	// LossesOf returns the losses of a request.
+	LossesOf(f quarantiner.Fingerprint, now time.Time) []quarantiner.Loss
 	// Report records the loss of a replica. It returns true if the loss was not known yet.
 	Report(l quarantiner.Loss) bool
 }
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -158,19 +158,20 @@
 		return nil, err
 	}
 	d.forward = forwarder.New(forwarder.Config{
-		VM:          site.VM.ID,
-		Gatherers:   d.gather,
-		DataCentre:  site.VM.DataCentre,
-		RetryRatio:  site.Bounds.RetryRatio,
-		RetrySlack:  site.Bounds.RetrySlack,
-		RetryWindow: site.Bounds.RetryWindow,
-		FirstStart:  site.FirstStart,
-		CallerDelay: callerDelay,
-		Log:         log,
-		RoutineLog:  routine,
-		Quarantine:  &d.quarantine,
-		SharedStats: &d.evidence,
-		Announce:    d.provider.broadcastLoss,
+		VM:             site.VM.ID,
+		Gatherers:      d.gather,
+		DataCentre:     site.VM.DataCentre,
+		RetryRatio:     site.Bounds.RetryRatio,
+		RetrySlack:     site.Bounds.RetrySlack,
+		RetryWindow:    site.Bounds.RetryWindow,
+		FirstStart:     site.FirstStart,
+		CallerDelay:    callerDelay,
+		Log:            log,
+		RoutineLog:     routine,
+		Quarantine:     &d.quarantine,
+		SharedStats:    &d.evidence,
+		Announce:       d.provider.broadcastLosses,
+		AnnounceAnswer: d.provider.broadcastAnswer,
 
 		AnnounceLeaver:  d.evidence.AddLeaver,
 		WarmupOvershoot: site.Bounds.WarmupOvershoot,
@@ -258,7 +259,8 @@
 		return err
 	}
 	d.relay.OnStream = calls.ServeConn
-	d.relay.OnLoss = func(l quarantiner.Loss) { d.quarantine.Merge([]quarantiner.Loss{l}, l.At) }
+	d.relay.OnLosses = func(list []quarantiner.Loss) { d.quarantine.Merge(list, time.Now()) }
+	d.relay.OnAnswer = func(a quarantiner.Answer) { d.quarantine.MarkAnswered(a) }
 	d.evidence.OnChange = d.logVerdict
 	d.relay.Evidence, d.relay.Losses = &d.evidence, &d.quarantine
 	d.provider = sourceProvider{self: d.site.VM.ID, dataCentre: d.site.VM.DataCentre, store: store.New(d.site.Store), keys: relayKeys, evidence: &d.evidence, losses: &d.quarantine, log: d.log}
--- a/services/launcher/losses_test.go
+++ b/services/launcher/losses_test.go
@@ -25,7 +25,7 @@
 	source := p.Sources(1)[0]
 	_, err := source.Source.Snapshot(context.Background())
 	is.NoErr(err)
-	is.Equal(losses.Verdict(1, time.Now()), quarantiner.Blocked)
+	is.Equal(losses.Verdict(1, quarantiner.Target{}, time.Now()), quarantiner.Blocked)
 	is.Equal(vm.d.provider.losses, &vm.d.quarantine)
 }
 
@@ -35,6 +35,19 @@
 	l := quarantiner.Loss{Fingerprint: 1, Server: "c-1", At: time.Now().Add(-time.Second)}
 	vm.d.quarantine.Merge([]quarantiner.Loss{l}, time.Now())
 	l.At = time.Now()
-	vm.d.relay.OnLoss(l)
-	is.New(t).Equal(vm.d.quarantine.Verdict(1, time.Now()), quarantiner.Suspect)
+	vm.d.relay.OnLosses([]quarantiner.Loss{l})
+	is.New(t).Equal(vm.d.quarantine.Verdict(1, quarantiner.Target{}, time.Now()), quarantiner.Suspect)
+}
+
+// TestReportedAnswerClearsSuspect guards against a VM that goes on to suspect a request to which another VM has had a
+// reply.
+func TestReportedAnswerClearsSuspect(t *testing.T) {
+	vm := start(t)
+	is := is.New(t)
+	now := time.Now()
+	target := quarantiner.Target{Service: "s", Version: "v1"}
+	vm.d.quarantine.Report(quarantiner.Loss{Fingerprint: 1, Target: target, Server: "c-1", At: now})
+	is.Equal(vm.d.quarantine.Verdict(1, target, now), quarantiner.Suspect)
+	vm.d.relay.OnAnswer(quarantiner.Answer{Fingerprint: 1, Target: target, At: now})
+	is.Equal(vm.d.quarantine.Verdict(1, target, now), quarantiner.Allowed)
 }
--- a/services/launcher/sources.go
+++ b/services/launcher/sources.go
@@ -69,18 +69,30 @@
 	clients map[netip.AddrPort]*relayer.Client
 }
 
-// broadcastLoss reports a loss to all other VMs. There is no retry: a VM that misses the report reads the
-// loss from the VMs that it follows.
-func (p *sourceProvider) broadcastLoss(l quarantiner.Loss) {
+// broadcastLosses reports losses to all other VMs. There is no retry: a VM that misses the report reads the
+// losses from the VMs that it follows.
+func (p *sourceProvider) broadcastLosses(list []quarantiner.Loss) {
 	for _, c := range p.peerClients() {
 		go func() {
-			if err := c.ReportLoss(l); err != nil {
+			if err := c.ReportLosses(list); err != nil {
 				p.log.WithField("event", "loss-untold").WithError(err).Info("failed to report a lost replica to another VM")
 			}
 		}()
 	}
 }
 
+// broadcastAnswer reports a reply that clears a request of losses to all other VMs. There is no retry: a VM
+// that misses the report goes on to suspect the request until it has a reply to it itself.
+func (p *sourceProvider) broadcastAnswer(a quarantiner.Answer) {
+	for _, c := range p.peerClients() {
+		go func() {
+			if err := c.ReportAnswer(a); err != nil {
+				p.log.WithField("event", "answer-untold").WithError(err).Info("failed to report the reply to a suspected request to another VM")
+			}
+		}()
+	}
+}
+
 // peerClients returns the clients of all other live VMs.
 func (p *sourceProvider) peerClients() []*relayer.Client {
 	p.mu.Lock()
--- a/services/linker/codec.go
+++ b/services/linker/codec.go
@@ -340,43 +340,94 @@
 	return names, revision, err
 }
 
-// Field numbers of a loss.
+// Field numbers of a loss. Those up to lossAt and those of its target are used for an answer as well.
+// Durations are in microseconds before lossAt; those of replies are greater by one, as 0 stands for none.
 const (
-	lossFingerprint = 1
-	lossServer      = 2
-	lossAt          = 3
-	lossGroup       = 4
-	lossGroupSafe   = 5
+	lossFingerprint   = 1
+	lossServer        = 2
+	lossAt            = 3
+	lossGroup         = 4
+	lossService       = 6
+	lossVersion       = 7
+	lossRan           = 8
+	lossAnswered      = 9
+	lossGroupAnswered = 10
 )
 
+// maxReportAge limits the durations in a loss.
+const maxReportAge = 24 * time.Hour
+
 // AppendLoss appends the encoding of a loss, in which VMs report it to each other, to b.
 func AppendLoss(b []byte, l quarantiner.Loss) []byte {
-	b = encoder.AppendVarint(b, lossFingerprint, uint64(l.Fingerprint))
+	b = AppendAnswer(b, quarantiner.Answer{Fingerprint: l.Fingerprint, Group: l.Group, Target: l.Target, At: l.At})
 	b = encoder.AppendBytes(b, lossServer, []byte(l.Server))
-	b = encoder.AppendVarint(b, lossGroup, uint64(l.Group))
-	if l.GroupSafe {
-		b = encoder.AppendVarint(b, lossGroupSafe, 1)
+	if !l.Began.IsZero() {
+		b = encoder.AppendVarint(b, lossRan, uint64(max(l.At.Sub(l.Began), 0).Microseconds()))
+	}
+	b = appendAge(b, lossAnswered, l.At, l.Answered)
+	return appendAge(b, lossGroupAnswered, l.At, l.GroupAnswered)
+}
+
+// appendAge appends how long before now a time was, unless it is zero.
+func appendAge(b []byte, num protowire.Number, now, at time.Time) []byte {
+	if at.IsZero() {
+		return b
 	}
-	return encoder.AppendVarint(b, lossAt, unixMicro(l.At))
+	return encoder.AppendVarint(b, num, uint64(max(now.Sub(at), 0).Microseconds())+1)
 }
 
 // DecodeLoss decodes what AppendLoss encoded. Errors match encoder.ErrMalformed.
 func DecodeLoss(b []byte) (quarantiner.Loss, error) {
-	var l quarantiner.Loss
-	err := encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) error {
+	a, err := DecodeAnswer(b)
+	if err != nil {
+		return quarantiner.Loss{}, err
+	}
+	l := quarantiner.Loss{Fingerprint: a.Fingerprint, Group: a.Group, Target: a.Target, At: a.At}
+	err = encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) error {
+		before := func(v uint64) time.Time {
+			return l.At.Add(-time.Duration(min(v, uint64(maxReportAge.Microseconds()))) * time.Microsecond)
+		}
 		switch num {
-		case lossFingerprint:
-			l.Fingerprint = quarantiner.Fingerprint(v)
 		case lossServer:
 			l.Server = string(raw)
+		case lossRan:
+			l.Began = before(v)
+		case lossAnswered:
+			l.Answered = before(max(v, 1) - 1)
+		case lossGroupAnswered:
+			l.GroupAnswered = before(max(v, 1) - 1)
+		}
+		return nil
+	})
+	return l, err
+}
+
+// AppendAnswer appends the encoding of a reply to a request, in which VMs report it to each other, to b.
+func AppendAnswer(b []byte, a quarantiner.Answer) []byte {
+	b = encoder.AppendVarint(b, lossFingerprint, uint64(a.Fingerprint))
+	b = encoder.AppendVarint(b, lossGroup, uint64(a.Group))
+	b = encoder.AppendBytes(b, lossService, []byte(a.Target.Service))
+	b = encoder.AppendBytes(b, lossVersion, []byte(a.Target.Version))
+	return encoder.AppendVarint(b, lossAt, unixMicro(a.At))
+}
+
+// DecodeAnswer decodes what AppendAnswer encoded. Errors match encoder.ErrMalformed.
+func DecodeAnswer(b []byte) (quarantiner.Answer, error) {
+	var a quarantiner.Answer
+	err := encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) error {
+		switch num {
+		case lossFingerprint:
+			a.Fingerprint = quarantiner.Fingerprint(v)
 		case lossAt:
-			l.At = time.UnixMicro(int64(v))
+			a.At = time.UnixMicro(int64(v))
 		case lossGroup:
-			l.Group = quarantiner.Fingerprint(v)
-		case lossGroupSafe:
-			l.GroupSafe = v != 0
+			a.Group = quarantiner.Fingerprint(v)
+		case lossService:
+			a.Target.Service = string(raw)
+		case lossVersion:
+			a.Target.Version = string(raw)
 		}
 		return nil
 	})
-	return l, err
+	return a, err
 }
--- a/services/relayer/codec.go
+++ b/services/relayer/codec.go
@@ -92,6 +92,8 @@
 
 	lossAge    protowire.Number = 1
 	lossReport protowire.Number = 2
+	// lossAgeRest holds the microseconds by which the age exceeds lossAge, which is in milliseconds.
+	lossAgeRest protowire.Number = 3
 
 	batchRevision protowire.Number = 1
 	batchItem     protowire.Number = 3
@@ -189,7 +191,9 @@
 func appendLosses(b []byte, list []quarantiner.Loss, now time.Time) []byte {
 	var item []byte
 	for _, l := range list {
-		item = encoder.AppendVarint(item[:0], lossAge, uint64(max(now.Sub(l.At), 0).Milliseconds()))
+		age := max(now.Sub(l.At), 0)
+		item = encoder.AppendVarint(item[:0], lossAge, uint64(age.Milliseconds()))
+		item = encoder.AppendVarint(item, lossAgeRest, uint64((age % time.Millisecond).Microseconds()))
 		item = encoder.AppendBytes(item, lossReport, linker.AppendLoss(nil, l))
 		b = encoder.AppendBytes(b, replyLoss, item)
 	}
@@ -197,18 +201,19 @@
 }
 
 func decodeLoss(b []byte, now time.Time) (l quarantiner.Loss, err error) {
-	var age time.Duration
+	var age, rest time.Duration
 	err = encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) (err error) {
 		switch num {
 		case lossAge:
 			age = boundedMilliseconds(v)
+		case lossAgeRest:
+			rest = time.Duration(min(v, 999)) * time.Microsecond
 		case lossReport:
 			l, err = linker.DecodeLoss(raw)
 		}
 		return err
 	})
-	l.At = now.Add(-age)
-	return l, err
+	return l.MovedTo(now.Add(-age - rest)), err
 }
 
 // reply is a decoded reply.
--- a/services/relayer/relayer.go
+++ b/services/relayer/relayer.go
@@ -33,11 +33,13 @@
 	// pathRead is the path for reads of the store.
 	pathRead = "/relay/1"
 	// pathLoss is the path for reports of replicas that were lost while they ran a request.
-	pathLoss = "/losses/1"
+	pathLoss = "/losses/2"
+	// pathAnswer is the path for reports of replies that clear a request of losses.
+	pathAnswer = "/answers/1"
 	// pathStream is the path for a connection that is passed to OnStream.
 	pathStream = "/stream/1"
-	// lossReportTimeout bounds the time to report a loss.
-	lossReportTimeout = 500 * time.Millisecond
+	// reportTimeout bounds the time to report a loss or a reply.
+	reportTimeout = 500 * time.Millisecond
 	// maxWait is the maximum time for which a request for changes may wait.
 	maxWait = 30 * time.Second
 	// maxRequest is the maximum size of a request body, in bytes.
@@ -62,9 +64,12 @@
 
 // Server answers the requests of other VMs with data from a Source.
 type Server struct {
-	// OnLoss is called with each loss that another VM reports; nil to ignore them. It must be set
+	// OnLosses is called with the losses that another VM reports; nil to ignore them. It must be set
 	// before Serve.
-	OnLoss func(l quarantiner.Loss)
+	OnLosses func(list []quarantiner.Loss)
+	// OnAnswer is called with each reply that another VM reports; nil to ignore them. It must be set
+	// before Serve.
+	OnAnswer func(a quarantiner.Answer)
 	// Evidence merges what other VMs have observed of replicas and derives the verdicts that are
 	// sent to them; nil for none. It must be set before Serve.
 	Evidence *reporter.Evidence
@@ -138,7 +143,7 @@
 		ctx.Hijack(func(c net.Conn) { s.handleStream(c, client) })
 		return
 	}
-	if path != pathRead && path != pathLoss {
+	if path != pathRead && path != pathLoss && path != pathAnswer {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
@@ -148,8 +153,12 @@
 		return
 	}
 	bouncer.Trust(ctx.Conn())
-	if path == pathLoss {
-		s.handleLoss(ctx, plain)
+	switch path {
+	case pathLoss:
+		s.handleLosses(ctx, plain)
+		return
+	case pathAnswer:
+		s.handleAnswer(ctx, plain)
 		return
 	}
 	q, tallies, leavers, err := decodeRequest(plain)
@@ -229,16 +238,26 @@
 	return c, nil
 }
 
-func (s *Server) handleLoss(ctx *fasthttp.RequestCtx, plain []byte) {
-	l, err := linker.DecodeLoss(plain)
+func (s *Server) handleLosses(ctx *fasthttp.RequestCtx, plain []byte) {
+	r, err := decodeReply(plain, time.Now())
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
-	// The clocks of two VMs differ, so the loss counts from its arrival.
-	l.At = time.Now()
-	if s.OnLoss != nil {
-		s.OnLoss(l)
+	if s.OnLosses != nil {
+		s.OnLosses(r.losses)
+	}
+}
+
+func (s *Server) handleAnswer(ctx *fasthttp.RequestCtx, plain []byte) {
+	a, err := linker.DecodeAnswer(plain)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	// The clocks of two VMs differ, so the reply counts from the arrival of the report.
+	if a.At = time.Now(); s.OnAnswer != nil {
+		s.OnAnswer(a)
 	}
 }
 
@@ -335,10 +354,18 @@
 	return r.batch, nil
 }
 
-// ReportLoss reports a loss to the other VM. Errors match ErrUnreachable.
-func (c *Client) ReportLoss(l quarantiner.Loss) error {
-	body := c.sealer.Seal(linker.AppendLoss(nil, l))
-	code, _, err := c.http.Raw(fasthttp.MethodPost, pathLoss, "application/octet-stream", body, time.Now().Add(lossReportTimeout))
+// ReportLosses reports losses to the other VM. Errors match ErrUnreachable.
+func (c *Client) ReportLosses(list []quarantiner.Loss) error {
+	return c.report(pathLoss, appendLosses(nil, list, time.Now()))
+}
+
+// ReportAnswer reports a reply to a request to the other VM. Errors match ErrUnreachable.
+func (c *Client) ReportAnswer(a quarantiner.Answer) error {
+	return c.report(pathAnswer, linker.AppendAnswer(nil, a))
+}
+
+func (c *Client) report(path string, plain []byte) error {
+	code, _, err := c.http.Raw(fasthttp.MethodPost, path, "application/octet-stream", c.sealer.Seal(plain), time.Now().Add(reportTimeout))
 	if err != nil {
 		return oops.Wrap(errors.Join(ErrUnreachable, err))
 	}
--- a/services/relayer/relayer_test.go
+++ b/services/relayer/relayer_test.go
@@ -123,20 +123,47 @@
 	is := is.New(t)
 	s, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), keys, &replicator.Cache{}, bouncer.Limits{})
 	is.NoErr(err)
-	received := make(chan quarantiner.Loss, 1)
-	s.OnLoss = func(l quarantiner.Loss) { received <- l }
+	received := make(chan []quarantiner.Loss, 1)
+	s.OnLosses = func(list []quarantiner.Loss) { received <- list }
 	go func() { _ = s.Serve() }()
 	defer s.Close()
 	c, err := NewClient(s.Addr(), keys)
 	is.NoErr(err)
-	l := quarantiner.Loss{Fingerprint: 1 << 63, Server: "i-1", At: time.UnixMilli(1767225600000)}
 	before := time.Now()
-	is.NoErr(c.ReportLoss(l))
+	list := []quarantiner.Loss{
+		{Fingerprint: 1 << 63, Server: "i-1", At: before.Add(-1500 * time.Microsecond)},
+		{Fingerprint: 1 << 63, Server: "i-2", Began: before.Add(-1500 * time.Microsecond), At: before},
+	}
+	is.NoErr(c.ReportLosses(list))
+	got := <-received
+	is.Equal(len(got), 2)
+	// Only their ages are sent, since the clocks of two VMs differ.
+	is.True(!got[1].At.Before(before.Add(-time.Millisecond)) && !got[1].At.After(time.Now()))
+	is.True(!got[1].Began.Before(got[0].At)) // the order is kept
+	for i, l := range got {
+		is.Equal(l.Server, list[i].Server)
+		is.Equal(l.Fingerprint, list[i].Fingerprint)
+	}
+}
+
+// TestAnswerIsTold checks that a reply which clears a request of losses reaches other VMs, as of its arrival.
+func TestAnswerIsTold(t *testing.T) {
+	is := is.New(t)
+	s, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), keys, &replicator.Cache{}, bouncer.Limits{})
+	is.NoErr(err)
+	received := make(chan quarantiner.Answer, 1)
+	s.OnAnswer = func(a quarantiner.Answer) { received <- a }
+	go func() { _ = s.Serve() }()
+	defer s.Close()
+	c, err := NewClient(s.Addr(), keys)
+	is.NoErr(err)
+	a := quarantiner.Answer{Fingerprint: 1 << 63, Group: 2, Target: quarantiner.Target{Service: "s", Version: "v1"}, At: time.UnixMilli(1767225600000)}
+	before := time.Now()
+	is.NoErr(c.ReportAnswer(a))
 	got := <-received
-	// The loss counts from its arrival, since the clocks of two VMs differ.
 	is.True(!got.At.Before(before) && !got.At.After(time.Now()))
-	got.At = l.At
-	is.Equal(got, l)
+	got.At = a.At
+	is.Equal(got, a)
 }
 
 // TestSameBatchIsCompressedOnce checks that followers at the same revision share one compressed
@@ -162,7 +189,7 @@
 
 func FuzzDecodeReply(f *testing.F) {
 	f.Add(appendReply(nil, time.Second, compress(batch(3, replicator.Item{Key: "k", Value: []byte("v"), Revision: 2}))))
-	f.Add(appendLosses(nil, []quarantiner.Loss{{Fingerprint: 1, Group: 2, Server: "i-1", GroupSafe: true}}, time.Now()))
+	f.Add(appendLosses(nil, []quarantiner.Loss{{Fingerprint: 1, Group: 2, Server: "i-1", GroupAnswered: time.Now()}}, time.Now()))
 	f.Fuzz(func(_ *testing.T, raw []byte) {
 		_, _ = decodeReply(raw, time.Now())
 		_, _, _, _ = decodeRequest(raw)
@@ -223,13 +250,13 @@
 	}
 	lose(1, 5*time.Minute)
 	read()
-	is.Equal(learned.Verdict(1, now), quarantiner.Blocked)
-	is.Equal(learned.Verdict(1, now.Add(6*time.Minute)), quarantiner.Allowed) // ten minutes after the losses
+	is.Equal(learned.Verdict(1, quarantiner.Target{}, now), quarantiner.Blocked)
+	is.Equal(learned.Verdict(1, quarantiner.Target{}, now.Add(6*time.Minute)), quarantiner.Allowed) // ten minutes after the losses
 	lose(2, time.Minute)
 	lose(3, 0)
 	read()
-	is.Equal(learned.Verdict(2, now), quarantiner.Allowed)
-	is.Equal(learned.Verdict(3, now), quarantiner.Blocked)
+	is.Equal(learned.Verdict(2, quarantiner.Target{}, now), quarantiner.Allowed)
+	is.Equal(learned.Verdict(3, quarantiner.Target{}, now), quarantiner.Blocked)
 	is.Equal(len(learned.Losses(true, now)), 2)
 }
 
@@ -237,8 +264,8 @@
 	is := is.New(t)
 	now := time.Now()
 	in := []quarantiner.Loss{
-		{Fingerprint: 1 << 63, Group: 2, GroupSafe: true, Server: "i-1", At: now.Add(-3 * time.Second)},
-		{Fingerprint: 1, Server: "i-2", At: now},
+		{Fingerprint: 1 << 63, Group: 2, Target: quarantiner.Target{Service: "s", Version: "v1"}, Server: "i-1", Began: now.Add(-4 * time.Second), At: now.Add(-3 * time.Second), GroupAnswered: now.Add(-5 * time.Second)},
+		{Fingerprint: 1, Server: "i-2", At: now, Answered: now.Add(-time.Minute)},
 	}
 	raw := appendLosses(nil, in, now)
 	r, err := decodeReply(raw, now)
--- a/services/scatterer/canary.go
+++ b/services/scatterer/canary.go
@@ -1,10 +1,14 @@
 package scatterer
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/ebonylock/ebonylock/modules/quarantiner"
+	"github.com/ebonylock/ebonylock/services/dispatcher"
 )
 
 // startCanary starts one subquery. Every VM picks the same subquery and the same order of
@@ -30,10 +34,28 @@
 	}
 }
 
-// markSafe records that the query is safe for servers and starts the subqueries that waited for
-// the canary.
-func (g *gather) markSafe() {
-	g.scatterer.quarantine.MarkSafe(g.fingerprint)
+// proven reports whether any service has replied to the query in this generation. The others may still
+// crash, but not more than two servers, as the quarantine counts their losses.
+func (g *gather) proven(now time.Time) bool {
+	return slices.ContainsFunc(g.subqueries, func(sq *subquery) bool {
+		return g.scatterer.quarantine.Proven(g.fingerprint, g.target(sq), now)
+	})
+}
+
+// suspect reports whether the query has probably crashed a server.
+func (g *gather) suspect(now time.Time) bool {
+	return slices.ContainsFunc(g.subqueries, func(sq *subquery) bool {
+		return g.scatterer.quarantine.Verdict(g.fingerprint, g.target(sq), now) == quarantiner.Suspect
+	})
+}
+
+func (g *gather) target(sq *subquery) quarantiner.Target {
+	return dispatcher.TargetOf(sq.service, g.generation)
+}
+
+// markSafe records the reply of a service and starts the subqueries that waited for the canary.
+func (g *gather) markSafe(sq *subquery) {
+	g.scatterer.quarantine.MarkAnswered(quarantiner.Answer{Fingerprint: g.fingerprint, Target: g.target(sq), At: time.Now()})
 	if g.knownSafe {
 		return
 	}
--- a/services/scatterer/gather.go
+++ b/services/scatterer/gather.go
@@ -105,8 +105,8 @@
 	fingerprint quarantiner.Fingerprint
 	minimum     float64
 	fast        bool
-	// knownSafe is true once the query is known to be safe for servers. Until then only one
-	// subquery, the canary, is in flight.
+	// knownSafe is true once any service has replied to the query in this generation. Until then only
+	// one subquery, the canary, is in flight.
 	knownSafe bool
 	// crashes counts the servers that were lost while they ran the query. It starts at 1 for a
 	// suspect.
@@ -129,8 +129,9 @@
 	}
 	g.events.wake = make(chan struct{}, 1)
 	g.fingerprint = s.fingerprint(q)
-	g.knownSafe = s.cfg.NoCanary || s.quarantine.IsSafe(g.fingerprint)
-	if s.quarantine.Verdict(g.fingerprint, time.Now()) == quarantiner.Suspect {
+	now := time.Now()
+	g.knownSafe = s.cfg.NoCanary || g.proven(now)
+	if !g.knownSafe && g.suspect(now) {
 		g.crashes = 1
 	}
 	return g
@@ -369,7 +370,7 @@
 		return
 	}
 	sq.reply = &r
-	g.markSafe()
+	g.markSafe(sq)
 	if a.hedge {
 		g.scatterer.metrics.hedgeWins.Inc()
 	}
--- a/services/scatterer/retry.go
+++ b/services/scatterer/retry.go
@@ -12,7 +12,7 @@
 
 // handleFailure processes a failed attempt. Unless another attempt of the subquery is in flight,
 // it moves, retries or gives up the subquery. It gives up the whole query if that is quarantined
-// or has crashed too many servers.
+// or has crashed too many servers, and no service has replied to it.
 func (g *gather) handleFailure(a *attempt, e dispatcher.Event, now time.Time) {
 	sq := a.subquery
 	if sq.done {
@@ -24,6 +24,10 @@
 	case moved:
 		g.scatterer.loads.report(a.server, e.Load, now)
 		sq.moves++
+	case errors.Is(e.Err, dispatcher.ErrQuarantined) && g.knownSafe:
+		// Other services have replied to the query.
+		g.giveUp(sq, sq.reason)
+		return
 	case errors.Is(e.Err, dispatcher.ErrQuarantined):
 		g.giveUpAll(sq.reason)
 		return
--- a/services/scatterer/scatterer_test.go
+++ b/services/scatterer/scatterer_test.go
@@ -286,3 +286,43 @@
 		is.True(s.loads.score("b-0", time.Now()) < 0.5)
 	})
 }
+
+// TestQueryCrashesOneService guards against a query that one service has answered and that crashes the servers of
+// another one without limit, and against the other services being left out with it.
+func TestQueryCrashesOneService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var q quarantiner.Tracker
+		crashes := 0
+		f := newFakeFleet(func(s dispatcher.Subrequest, _ int) dispatcher.Event {
+			switch now := time.Now(); {
+			case s.Describe || s.Service != "b":
+				return wholeReply(s, newGeneration(1, "p0"))
+			case q.Verdict(s.Fingerprint, s.Target(), now) == quarantiner.Blocked:
+				return failedEvent(executor.ErrNotRun, dispatcher.ErrQuarantined)
+			default:
+				crashes++
+				q.Report(quarantiner.Loss{Fingerprint: s.Fingerprint, Target: s.Target(), Server: s.Server, At: now})
+				return failedEvent(executor.ErrUnknownOutcome, executor.ErrLost)
+			}
+		})
+		s := New(DefaultConfig(), f, &q)
+		// The canary of one of these queries goes to service b, those of others don't.
+		for n := range 6 {
+			body := []byte{'0' + byte(n)}
+			crashes = 0
+			for range 5 {
+				a, err := s.Search(context.Background(), Query{Search: "s", Body: body, Deadline: time.Now().Add(time.Second)})
+				is.NoErr(err)
+				is.True(!a.Complete())
+				time.Sleep(time.Second)
+				if crashes < 2 || len(a.Covered) == 0 {
+					continue
+				}
+				is.Equal(len(a.Covered), 2)
+				is.Equal(a.Uncovered, []UncoveredPartition{{PartitionRef{"b", "p0"}, "quarantined"}})
+			}
+			is.True(crashes <= 2)
+		}
+	})
+}
--- a/services/scatterer/types.go
+++ b/services/scatterer/types.go
@@ -38,12 +38,13 @@
 
 // Quarantine tracks which requests are safe for backend servers and which may crash them.
 type Quarantine interface {
-	// IsSafe reports whether a request is known to have got a complete reply.
-	IsSafe(f quarantiner.Fingerprint) bool
-	// MarkSafe records that a request got a complete reply.
-	MarkSafe(f quarantiner.Fingerprint)
-	// Verdict returns how a request may be run.
-	Verdict(f quarantiner.Fingerprint, now time.Time) quarantiner.Verdict
+	// Proven reports whether a target has replied to a request recently enough that it is believed to be
+	// harmless there.
+	Proven(f quarantiner.Fingerprint, t quarantiner.Target, now time.Time) bool
+	// MarkAnswered records a complete reply. It returns true if the reply clears a suspect.
+	MarkAnswered(a quarantiner.Answer) bool
+	// Verdict returns how a request may be run by a target.
+	Verdict(f quarantiner.Fingerprint, t quarantiner.Target, now time.Time) quarantiner.Verdict
 }
 
 // Query is one search request.
