--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -127,8 +127,7 @@
 	d := &Daemon{site: site, spool: &spooler.Spooler{Out: out}, stop: make(chan struct{}), started: time.Now()}
 	shares := rationer.Divide(int64(site.VM.MemoryMB) * rationer.MiB)
 	conns := shares.LimitConnections(site.VM.Descriptors, callersPart)
-	d.clients.Limit, d.backend.MaxReplyMemory = shares.Clients, shares.Replies
-	d.backend.ReceiveBuffer = rationer.ReceiveBuffer
+	d.clients.Limit, d.backend.Memory.Limit, d.backend.ReceiveBuffer = shares.Clients, shares.Replies, rationer.ReceiveBuffer
 	others := bouncer.Limits{MaxConns: conns.Others, Memory: &d.clients, Buffers: shares.Buffers()}
 	d.cut = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "ebonylock", Name: "requests_cut_total", Help: "Requests that got no whole answer, by reason.",
