Replies: they count until they are passed on, and are dropped when they are not needed

Cause: a reply no longer counted once it was whole, long before its answer counts as its caller's. And an attempt that goes on after the answer (for up to three target latencies, to keep its connection) kept the request with the content of all its replies in memory; a reply that came after the answer, too.

Change: the accounting goes with the reply until its answer is accounted for, or the reply is dropped. Replies that failed, came late or were merged are dropped at once. A reply to a part of a search that counts is cut to the records that its answer can have.

The tests' meter now counts the unread bytes of all sockets of a process, in any state, not only those of connections that it accepted.

--- a/services/forwarder/attempt.go
+++ b/services/forwarder/attempt.go
@@ -93,6 +93,9 @@
 // Done implements SendHandler.
 func (a *attempt) Done(reply *Reply, err error) {
 	fl, now := a.fl, time.Now()
+	if a.part.notNeeded.Load() {
+		reply.Drop()
+	}
 	run := ranker.Result{Started: a.began, Outcome: fl.replicaOutcome(reply, err), Slots: a.to.Slots}
 	if reply != nil {
 		run.Load = reply.Load
@@ -109,7 +112,9 @@
 	if errors.Is(err, ErrConnLost) && !fl.callerLeft() {
 		go a.checkCrash(now)
 	}
-	fl.inbox.add(result{attempt: a, reply: reply, err: err, at: now})
+	if !fl.inbox.add(result{attempt: a, reply: reply, err: err, at: now}) {
+		reply.Drop()
+	}
 }
 
 // replicaOutcome returns what the end of an attempt indicates about its replica.
--- a/services/forwarder/flight.go
+++ b/services/forwarder/flight.go
@@ -135,15 +135,21 @@
 	}
 }
 
-// finish ends the flight. If the caller has left, it cancels the attempts in progress. Otherwise it
+// finish ends the flight, whose response is known. Its attempts may go on and keep it in memory, but not the
+// content of its replies. If the caller has left, it cancels the attempts in progress. Otherwise it
 // lets them continue for a while so that their connections stay usable.
 func (fl *flight) finish() {
 	if fl.timer != nil {
 		fl.timer.Stop()
 	}
+	for _, r := range fl.inbox.close() {
+		r.reply.Drop()
+	}
 	var exchanges []Exchange
 	for _, p := range fl.parts {
 		p.notNeeded.Store(true)
+		p.reply.Drop()
+		p.lastFailure.Drop()
 		for _, a := range p.attempts {
 			if a.end == "" {
 				exchanges = append(exchanges, a.exchange)
@@ -246,7 +252,7 @@
 	if p.reply == nil {
 		return fl.failedResponse()
 	}
-	return Response{Status: p.reply.Status, Fields: p.reply.Fields, Body: p.reply.Body}
+	return p.reply.response()
 }
 
 // nextWake returns the time of the next planned attempt, or wake if that is earlier.
@@ -371,17 +377,25 @@
 		fl.markAnswered(r.attempt, r.at)
 	}
 	if p.done {
+		r.reply.Drop()
 		return
 	}
+	gathered := len(fl.route.Shards) > 0
 	if answered {
+		if gathered {
+			r.reply.keepGreatest(fl.route.TopK)
+		}
 		p.reply, p.done = r.reply, true
 		fl.replied++
 		fl.done++
 		p.notNeeded.Store(true)
 		return
 	}
-	if r.err == nil && !notRun {
+	if r.err == nil && !notRun && !gathered {
+		p.lastFailure.Drop()
 		p.lastFailure = r.reply
+	} else {
+		r.reply.Drop()
 	}
 	if p.inFlight > 0 {
 		if r.attempt.hedge && notRun {
--- a/services/forwarder/responses.go
+++ b/services/forwarder/responses.go
@@ -38,7 +38,7 @@
 		return notRunResponse(fl.retryAfter(time.Now()))
 	}
 	if r := fl.parts[0].lastFailure; len(fl.route.Shards) == 0 && r != nil && canPassOn(r) {
-		return Response{Status: r.Status, Fields: r.Fields, Body: r.Body}
+		return r.response()
 	}
 	return Response{Status: http.StatusBadGateway}
 }
--- a/services/forwarder/types.go
+++ b/services/forwarder/types.go
@@ -8,6 +8,7 @@
 	"errors"
 	"time"
 
+	"github.com/ebonylock/ebonylock/modules/merger"
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/modules/ranker"
 	"github.com/ebonylock/ebonylock/modules/registrar"
@@ -74,6 +75,9 @@
 	Gathered bool
 	// RetryAfter is the delay after which a retry may succeed; 0 if unknown.
 	RetryAfter time.Duration
+	// Release ends the accounting for the memory of Body at the reply. It must be called once Body is accounted
+	// for as an answer, or dropped; nil if there is none.
+	Release func()
 	// Record writes the log line and the metrics of the request. It is called after the response
 	// was passed on for sending, so that it adds nothing to the latency seen by the caller.
 	Record func()
@@ -132,6 +136,8 @@
 	Misdirected bool
 	// Load is the load that the replica reported; nil if it reported none.
 	Load *ranker.Load
+	// Release ends the accounting for the memory of Body. It must be called once, or Drop; nil if there is none.
+	Release func()
 }
 
 // Success reports whether the reply has a 2xx status and a stamp and does not state that the
@@ -140,6 +146,34 @@
 	return r.Status >= 200 && r.Status < 300 && r.Stamp != "" && !r.NotRun
 }
 
+// Drop drops what a reply holds for the caller. r may be nil.
+func (r *Reply) Drop() {
+	if r == nil {
+		return
+	}
+	r.Fields, r.Body = nil, nil
+	if r.Release != nil {
+		r.Release()
+		r.Release = nil
+	}
+}
+
+// keepGreatest replaces a body that is accounted for by its n greatest records.
+func (r *Reply) keepGreatest(n int) {
+	if r.Release != nil && len(r.Body) > n*merger.RecordSize {
+		body := merger.Top([][]byte{r.Body}, n)
+		r.Drop()
+		r.Body = body
+	}
+}
+
+// response returns the reply as the response to its request. The response takes over its memory.
+func (r *Reply) response() Response {
+	resp := Response{Status: r.Status, Fields: r.Fields, Body: r.Body, Release: r.Release}
+	r.Release = nil
+	return resp
+}
+
 // Backend sends requests to replicas.
 type Backend interface {
 	// Send sends m to a replica and reports to s. It does not block.
--- a/tests/crowd/callers_test.go
+++ b/tests/crowd/callers_test.go
@@ -19,6 +19,13 @@
 
 // startVM starts a VM on the stand-ins of the users' platform whose process has memoryMB.
 func startVM(t *testing.T, descriptors int) *fleet.SiteVM {
+	t.Helper()
+	_, vm := startSite(t, memoryMB, descriptors)
+	return vm
+}
+
+// startSite is startVM for a process with the given memory. It returns the stand-ins as well.
+func startSite(t *testing.T, memory, descriptors int) (*fleet.SiteFleet, *fleet.SiteVM) {
 	t.Helper()
 	is := is.New(t)
 	f, err := fleet.StartSite(binDir, 1, 0, t.Output())
@@ -26,14 +33,14 @@
 	t.Cleanup(f.Kill)
 	f.SetLimits(fleet.Limits{MaxHeader: maxHeader, MaxBody: maxBody, HeaderTimeout: 30 * time.Second, IdleTimeout: 30 * time.Second})
 	vm := fleet.NewSiteVM(1, "dc-1", f.Store.Addr())
-	vm.MemoryMB, vm.Descriptors = memoryMB, descriptors
+	vm.MemoryMB, vm.Descriptors = memory, descriptors
 	is.NoErr(vm.Start(binDir, t.TempDir(), t.Output()))
 	t.Cleanup(vm.Kill)
 	// The VM may start with the configuration of before.
 	for end := time.Now().Add(20 * time.Second); !servesLargest(vm) || f.CheckComplete(vm) != nil; time.Sleep(20 * time.Millisecond) {
 		is.True(time.Now().Before(end)) // the VM serves
 	}
-	return vm
+	return f, vm
 }
 
 // servesLargest reports whether the VM serves a request with the largest body.
--- a/tests/crowd/crowd_test.go
+++ b/tests/crowd/crowd_test.go
@@ -127,16 +127,22 @@
 	// memory is the highest sum seen of the resident memory and of the bytes received and not yet read, and
 	// descriptors the highest number of open descriptors.
 	memory, descriptors int
+	// unreadAtPeak is the part of memory that was received and not yet read.
+	unreadAtPeak int
+	// limit is the memory of the process in bytes. It may be set until check.
+	limit int
 }
 
 // measure measures a process until check.
 func measure(pid int, addr string) *meter {
 	host, _, _ := net.SplitHostPort(addr)
-	m := &meter{pid: pid, host: net.ParseIP(host).To4(), stop: make(chan struct{}), done: make(chan struct{})}
+	m := &meter{pid: pid, host: net.ParseIP(host).To4(), stop: make(chan struct{}), done: make(chan struct{}), limit: memoryMB << 20}
 	go func() {
 		defer close(m.done)
 		for {
-			m.memory = max(m.memory, m.status("VmRSS:")+m.unread())
+			if resident, unread := m.status("VmRSS:"), m.unread(); resident+unread > m.memory {
+				m.memory, m.unreadAtPeak = resident+unread, unread
+			}
 			if fds, err := os.ReadDir(m.path("fd")); err == nil {
 				m.descriptors = max(m.descriptors, len(fds))
 			}
@@ -169,18 +175,33 @@
 	return 0
 }
 
-// unread returns the number of bytes that the kernel has received for the process and the process has not read.
+// sockets returns the inodes of the process's sockets.
+func (m *meter) sockets() map[string]bool {
+	out := make(map[string]bool)
+	fds, _ := os.ReadDir(m.path("fd"))
+	for _, fd := range fds {
+		link, _ := os.Readlink(filepath.Join(m.path("fd"), fd.Name()))
+		if inode, ok := strings.CutPrefix(link, "socket:["); ok {
+			out[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
+	return out
+}
+
+// unread returns the number of bytes that the kernel has received for the process and the process has not read: those
+// of connections to its address, accepted or not, and of the connections that it has opened.
 func (m *meter) unread() int {
 	raw, err := os.ReadFile(m.path("net/tcp"))
 	if err != nil {
 		return 0
 	}
-	const established, receiveQueue = "01", 4
+	const listen, receiveQueue, inode = "0A", 4, 9
 	local := fmt.Sprintf("%02X%02X%02X%02X:", m.host[3], m.host[2], m.host[1], m.host[0])
+	sockets := m.sockets()
 	total := 0
 	for line := range strings.Lines(string(raw)) {
 		fields := strings.Fields(line)
-		if len(fields) <= receiveQueue || !strings.HasPrefix(fields[1], local) || fields[3] != established {
+		if len(fields) <= inode || fields[3] == listen || !strings.HasPrefix(fields[1], local) && !sockets[fields[inode]] {
 			continue
 		}
 		_, rx, _ := strings.Cut(fields[receiveQueue], ":")
@@ -196,9 +217,9 @@
 	close(m.stop)
 	<-m.done
 	peak := max(m.memory, m.status("VmHWM:"))
-	t.Logf("peak of the memory: %d MiB of %d, of the descriptors: %d of %d", peak>>20, memoryMB, m.descriptors, maxDescriptors)
-	if peak > memoryMB<<20 {
-		t.Errorf("the process held %d MiB, its memory is %d MiB", peak>>20, memoryMB)
+	t.Logf("peak of the memory: %d MiB of %d, %d of them not read; of the descriptors: %d of %d", peak>>20, m.limit>>20, m.unreadAtPeak>>20, m.descriptors, maxDescriptors)
+	if peak > m.limit {
+		t.Errorf("the process held %d MiB, its memory is %d MiB", peak>>20, m.limit>>20)
 	}
 	if m.descriptors > maxDescriptors {
 		t.Errorf("the process had %d descriptors open, it may have %d", m.descriptors, maxDescriptors)
--- a/tests/fleet/site.go
+++ b/tests/fleet/site.go
@@ -51,6 +51,9 @@
 	// maxConns is the number of connections that a replica of a shard accepts, 0 for no limit, and
 	// configs the number of configurations written.
 	maxConns, configs int
+	limits            Limits
+	// added holds the services that AddService has added, each with a route.
+	added []string
 }
 
 // SiteVM is a VM that runs as a separate process on stand-ins of the users' platform.
@@ -144,13 +147,33 @@
 
 // SetLimits writes a new version of the configuration, with the given limits, to the store.
 func (f *SiteFleet) SetLimits(l Limits) {
+	f.limits = l
 	f.configs++
+	var routes strings.Builder
+	for _, s := range f.added {
+		fmt.Fprintf(&routes, `,
+		{"name":%[1]q,"hostname":"h.example","path_prefix":"/%[1]s/","type":"idempotent","timeout_ms":5000,"target_latency_ms":1000,"max_attempts":2,"service":%[1]q}`, s)
+	}
 	f.Store.Put("op/config", fmt.Appendf(nil, `{"version":%[2]d,"routes":[
 		{"name":"search","hostname":"h.example","path_prefix":"/search/","type":"idempotent","timeout_ms":5000,"target_latency_ms":1000,"max_attempts":2,"gather":["a","b"],"top_k":3,"min_shard_share":1},
-		{"name":"write","hostname":"h.example","path_prefix":"/write/","type":"non_idempotent","timeout_ms":5000,"target_latency_ms":1000,"max_attempts":2,"service":"c"}],
+		{"name":"write","hostname":"h.example","path_prefix":"/write/","type":"non_idempotent","timeout_ms":5000,"target_latency_ms":1000,"max_attempts":2,"service":"c"}%[7]s],
 		"services":[{"name":"a","max_connections":%[1]d},{"name":"b","max_connections":%[1]d}],
 		"limits":{"max_header_bytes":%[3]d,"max_body_bytes":%[4]d,"header_timeout_ms":%[5]d,"idle_timeout_ms":%[6]d}}`,
-		f.maxConns, f.configs, l.MaxHeader, l.MaxBody, l.HeaderTimeout.Milliseconds(), l.IdleTimeout.Milliseconds()))
+		f.maxConns, f.configs, l.MaxHeader, l.MaxBody, l.HeaderTimeout.Milliseconds(), l.IdleTimeout.Milliseconds(), &routes))
+}
+
+// AddService adds a service with replicas at the given addresses, and a route for the paths below its name.
+func (f *SiteFleet) AddService(service string, replicas []netip.AddrPort) {
+	for i, addr := range replicas {
+		f.putReplica(fmt.Sprintf("%s-%d", service, i+1), service, "dc-1", addr)
+	}
+	f.added = append(f.added, service)
+	f.SetLimits(f.limits)
+}
+
+// putReplica writes the entry of a replica.
+func (f *SiteFleet) putReplica(id, service, dataCentre string, addr netip.AddrPort) {
+	f.Store.Put("servers/"+id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":2,"state":"ready","warmup_left_ms":0,"sequence":1}`, service, addr, dataCentre))
 }
 
 func (f *SiteFleet) addReplicas() error {
@@ -173,7 +196,7 @@
 			return err
 		}
 		f.replicas = append(f.replicas, r)
-		f.Store.Put("servers/"+id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"dc-%s","version":"v1","slots":2,"state":"ready","warmup_left_ms":0,"sequence":1}`, id[:1], r.Addr(), id[2:]))
+		f.putReplica(id, id[:1], "dc-"+id[2:], r.Addr())
 	}
 	return nil
 }
