Own interface: the replies of backend servers share a part of the memory

What callers saw: an entry VM ends, out of memory, while backend servers send replies without end, to searches or to the checks of their state, and with it the requests of all other callers.

Cause: the HTTP client read each response of up to 16 MiB into a buffer that doubled, on as many connections as there are servers and slots, and nothing limited their sum. The receive buffers of the connections were the system's.

The clients of the store, the list and other VMs read as before: they have a handful of connections each.

--- a/modules/executor/executor_test.go
+++ b/modules/executor/executor_test.go
@@ -13,6 +13,8 @@
 	"github.com/matryer/is"
 
 	"github.com/ebonylock/ebonylock/modules/executor"
+	"github.com/ebonylock/ebonylock/modules/fetcher"
+	"github.com/ebonylock/ebonylock/modules/rationer"
 	"github.com/ebonylock/ebonylock/tests/standin"
 )
 
@@ -63,7 +65,7 @@
 				work = 2 * time.Second
 			}
 			b := newBackend(t, work)
-			c := executor.New(standin.MustAddr(b.ListEntry().Addr), 8)
+			c := executor.New(standin.MustAddr(b.ListEntry().Addr), 8, fetcher.Limits{Memory: &rationer.Budget{}})
 			if tc.prepare != nil {
 				tc.prepare(b, c)
 			}
@@ -89,7 +91,7 @@
 func TestCancelEndsRun(t *testing.T) {
 	is := is.New(t)
 	b := newBackend(t, time.Minute)
-	c := executor.New(standin.MustAddr(b.ListEntry().Addr), 8)
+	c := executor.New(standin.MustAddr(b.ListEntry().Addr), 8, fetcher.Limits{Memory: &rationer.Budget{}})
 	done := make(chan error, 1)
 	go func() {
 		_, err := c.Run(request("long", time.Minute))
@@ -147,7 +149,7 @@
 			is := is.New(t)
 			// The second reply is valid, so that a hidden retry would succeed.
 			valid := httpReply(`{"request-id":"x","generation":1,"results":[1],"results-xxh64":"` + sum + `"}`)
-			c := executor.New(rawServer(t, reply, valid), 4)
+			c := executor.New(rawServer(t, reply, valid), 4, fetcher.Limits{Memory: &rationer.Budget{}})
 			_, err := c.Run(executor.Request{ID: "x", Generation: 1, Body: []byte("{}"), Deadline: time.Now().Add(5 * time.Second)})
 			is.True(errors.Is(err, executor.ErrUnknownOutcome))
 		})
@@ -159,7 +161,7 @@
 func TestLateReplyIsNotTheNextOne(t *testing.T) {
 	is := is.New(t)
 	b := newBackend(t, 200*time.Millisecond)
-	c := executor.New(standin.MustAddr(b.ListEntry().Addr), 8)
+	c := executor.New(standin.MustAddr(b.ListEntry().Addr), 8, fetcher.Limits{Memory: &rationer.Budget{}})
 	_, err := c.Run(request("first", 30*time.Millisecond))
 	is.True(errors.Is(err, executor.ErrUnknownOutcome))
 	for b.Record().Finished == 0 {
--- a/modules/executor/http.go
+++ b/modules/executor/http.go
@@ -30,17 +30,17 @@
 	control *fetcher.Client
 }
 
-// New returns a Client for the server at addr that opens at most maxConns connections. If maxConns is
-// above 1, one of them is reserved for state and cancellation requests.
-func New(addr netip.AddrPort, maxConns int) *Client {
+// New returns a Client for the server at addr that opens at most maxConns connections, and whose replies have
+// limits. If maxConns is above 1, one of the connections is reserved for state and cancellation requests.
+func New(addr netip.AddrPort, maxConns int, limits fetcher.Limits) *Client {
 	controlConns := 1
 	if maxConns < 2 {
 		controlConns = 0
 	}
-	c := &Client{runs: fetcher.New(addr, maxConns-controlConns)}
+	c := &Client{runs: fetcher.NewLimited(addr, maxConns-controlConns, limits)}
 	c.control = c.runs
 	if controlConns > 0 {
-		c.control = fetcher.New(addr, controlConns)
+		c.control = fetcher.NewLimited(addr, controlConns, limits)
 	}
 	return c
 }
--- a/modules/fetcher/checkedconn.go
+++ b/modules/fetcher/checkedconn.go
@@ -14,6 +14,8 @@
 // checkedConn checks the start of the first response after each write. fasthttp takes the status 000 for 200.
 type checkedConn struct {
 	net.Conn
+	// onMalformed is called before Read returns errNotHTTP.
+	onMalformed func()
 	// checked is the number of bytes of the response that were checked.
 	checked int
 }
@@ -32,6 +34,7 @@
 			break
 		}
 		if !matches(statusPattern[c.checked], b) {
+			c.onMalformed()
 			return 0, errNotHTTP
 		}
 		c.checked++
--- a/modules/rationer/budget.go
+++ b/modules/rationer/budget.go
@@ -33,7 +33,7 @@
 
 // Portion is what one message takes. It must not be used concurrently.
 type Portion struct {
-	// Budget is what the portion draws on. It must be set before use.
+	// Budget is what the portion draws on; nil for no limit.
 	Budget *Budget
 	size   int64
 }
@@ -41,6 +41,9 @@
 // Add counts n more bytes of the message. It returns ErrNoMemory if the message may not take them; they count
 // nevertheless, until Release.
 func (p *Portion) Add(n int) error {
+	if p.Budget == nil {
+		return nil
+	}
 	before := max(p.size, FreeBytes)
 	p.size += int64(n)
 	if p.size <= FreeBytes {
@@ -70,7 +73,7 @@
 
 // Release returns what the message has taken. The portion can then be used for another message.
 func (p *Portion) Release() {
-	if p.size > FreeBytes {
+	if p.Budget != nil && p.size > FreeBytes {
 		p.Budget.used.Add(FreeBytes - p.size)
 	}
 	p.size = 0
--- a/services/runner/runner.go
+++ b/services/runner/runner.go
@@ -15,6 +15,7 @@
 
 	"github.com/ebonylock/ebonylock/modules/bouncer"
 	"github.com/ebonylock/ebonylock/modules/executor"
+	"github.com/ebonylock/ebonylock/modules/fetcher"
 	"github.com/ebonylock/ebonylock/modules/keeper"
 	"github.com/ebonylock/ebonylock/modules/lister"
 	"github.com/ebonylock/ebonylock/modules/loader"
@@ -67,6 +68,8 @@
 	stopOnce sync.Once
 	// clients is the memory that callers and operators make this VM hold.
 	clients rationer.Pool
+	// replies is the memory for the replies of backend servers that are being read.
+	replies rationer.Budget
 }
 
 // stoppableFleet is the coordinator with a Stop method that stops the daemon.
@@ -137,10 +140,10 @@
 		RepliesPerSlot: s.Limits.RepliesPerSlot,
 		RestartTime:    s.Limits.RestartTime,
 		Announce:       d.coord.Announce,
-	}, dial, d.gossip.Heartbeat, &d.quarantine, &d.ring)
+	}, d.dial, d.gossip.Heartbeat, &d.quarantine, &d.ring)
 	d.scatter = scatterer.New(scatterer.Config{ExtraRatio: s.Limits.ExtraRatio, MaxHedges: s.Limits.MaxHedges}, d.coord, &d.quarantine)
 	shares := rationer.Divide(int64(s.VM.MemoryMB) * rationer.MiB)
-	d.clients.Limit = shares.Clients
+	d.clients.Limit, d.replies.Limit = shares.Clients, shares.Replies
 	conns := shares.LimitConnections(s.VM.Descriptors, callersPart)
 	d.submit = submitter.New(s.VM.ID, incarnation, s.Fleet.Keys, d.coord)
 	var err error
@@ -167,8 +170,8 @@
 }
 
 // dial returns a client for a backend server.
-func dial(b lister.BackendServer) dispatcher.Runner {
-	return executor.New(b.Addr, b.MaxConns)
+func (d *Daemon) dial(b lister.BackendServer) dispatcher.Runner {
+	return executor.New(b.Addr, b.MaxConns, fetcher.Limits{Memory: &d.replies, ReceiveBuffer: rationer.ReceiveBuffer})
 }
 
 // Stop begins the graceful shutdown.
--- a/tests/crowd/own_test.go
+++ b/tests/crowd/own_test.go
@@ -1,10 +1,18 @@
 package crowd
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -92,3 +100,94 @@
 		})
 	}
 }
+
+// faultyServer is a backend server that answers requests for a path as a faulty replica, and others soundly.
+type faultyServer struct {
+	path  string
+	reply faultyReply
+	// asked is closed at the first request.
+	asked chan struct{}
+	once  sync.Once
+}
+
+// ServeHTTP implements http.Handler.
+func (s *faultyServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.once.Do(func() { close(s.asked) })
+	_, _ = io.Copy(io.Discard, r.Body)
+	switch r.URL.Path {
+	case s.path:
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := io.WriteString(c, s.reply.head); err == nil {
+			writeWithoutEnd(c, s.reply.more)
+		}
+	case "/v1/state":
+		_, _ = io.WriteString(w, `{"boot-id": "b", "held": [{"number": 1, "partitions": ["p"]}]}`)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// startFaultyServers starts faulty backend servers and returns them with their addresses.
+func startFaultyServers(t *testing.T, path string, reply faultyReply) (servers []*faultyServer, addrs []netip.AddrPort) {
+	t.Helper()
+	for range faultyReplicas {
+		s := &faultyServer{path: path, reply: reply, asked: make(chan struct{})}
+		srv := httptest.NewServer(s)
+		t.Cleanup(func() {
+			srv.CloseClientConnections()
+			srv.Close()
+		})
+		servers = append(servers, s)
+		addrs = append(addrs, srv.Listener.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return servers, addrs
+}
+
+// TestOwnReplies sends many searches at once whose backend servers send replies without end, to them or to the checks of
+// their state.
+func TestOwnReplies(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	block := bytes.Repeat([]byte("x"), 64<<10)
+	for _, tc := range []struct {
+		name, path string
+		memory     int
+		reply      faultyReply
+	}{
+		{"no head", "/v1/run", 96, faultyReply{more: block}},
+		{"a body without a length", "/v1/run", 96, faultyReply{head: ok + "Connection: close\r\n\r\n", more: block}},
+		{"a body without a length", "/v1/run", 160, faultyReply{head: ok + "Connection: close\r\n\r\n", more: block}},
+		{"chunks", "/v1/run", 160, faultyReply{head: ok + "Transfer-Encoding: chunked\r\n\r\n", more: fmt.Appendf(nil, "%x\r\n%s\r\n", len(block), block)}},
+		{"a body without a length", "/v1/state", 96, faultyReply{head: ok + "Connection: close\r\n\r\n", more: block}},
+		{"chunks", "/v1/state", 160, faultyReply{head: ok + "Transfer-Encoding: chunked\r\n\r\n", more: fmt.Appendf(nil, "%x\r\n%s\r\n", len(block), block)}},
+	} {
+		t.Run(fmt.Sprintf("%s, %s, %d MiB", tc.path, tc.name, tc.memory), func(t *testing.T) {
+			const descriptors = 4000
+			is := is.New(t)
+			f, err := fleet.Start(fleet.Config{
+				Bin: binDir, Deployment: standin.Deployments[0], VMs: 1, MemoryMB: tc.memory, Descriptors: descriptors, Log: t.Output(),
+			})
+			is.NoErr(err)
+			t.Cleanup(f.Kill)
+			vm := f.VMs[0]
+			m := measure(vm.PID(), vm.Callers)
+			m.limit = tc.memory << 20
+			servers, addrs := startFaultyServers(t, tc.path, tc.reply)
+			is.NoErr(f.ReplaceServers("hire-billing", addrs, 8))
+			for _, s := range servers {
+				<-s.asked // the VM has opened it
+			}
+			var n atomic.Int64
+			askAll(t, replyCallers, replyRounds, func(context.Context) error {
+				query := map[string]any{"query": map[string]any{"q": n.Add(1)}, "deadline-ms": 1000}
+				_, _, err := f.CallVM(vm, "/v1/search/hire-billing", query)
+				return err
+			})
+			checkSearch(t, f, vm)
+			m.check(t, descriptors)
+		})
+	}
+}
--- a/tests/fleet/fleet.go
+++ b/tests/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -242,6 +243,19 @@
 	return f.publishList()
 }
 
+// ReplaceServers gives the backend servers of the services of a search new addresses, one after the other, and a number
+// of slots.
+func (f *Fleet) ReplaceServers(search string, addrs []netip.AddrPort, slots int) error {
+	n := 0
+	for i, s := range f.servers {
+		if strings.HasPrefix(s.Service, search) {
+			f.servers[i].Addr, f.servers[i].Slots = addrs[n%len(addrs)].String(), slots
+			n++
+		}
+	}
+	return f.publishList()
+}
+
 // publishList sets the platform's list to the VMs and backend servers of the fleet.
 func (f *Fleet) publishList() error {
 	list := standin.List{Servers: f.servers}
--- a/tools/emulator/emulator.go
+++ b/tools/emulator/emulator.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ebonylock/ebonylock/modules/executor"
+	"github.com/ebonylock/ebonylock/modules/fetcher"
 	"github.com/ebonylock/ebonylock/modules/lister"
 	"github.com/ebonylock/ebonylock/modules/locator"
 	"github.com/ebonylock/ebonylock/modules/planner"
@@ -142,7 +143,9 @@
 		v := &vm{e: e, id: m.ID, dc: m.DataCentre}
 		v.view = locator.Build(locator.Input{Self: m.ID, Config: conf, Members: members, List: list})
 		alive := func(now time.Time) time.Time { return now }
-		dial := func(b lister.BackendServer) dispatcher.Runner { return executor.New(b.Addr, b.MaxConns) }
+		dial := func(b lister.BackendServer) dispatcher.Runner {
+			return executor.New(b.Addr, b.MaxConns, fetcher.Limits{})
+		}
 		v.dispatch = dispatcher.New(dispatcher.Config{RunLimit: 10 * time.Second}, dial, alive, &v.losses, &v.ring)
 		v.scatter = scatterer.New(e.cfg.Search, v, &v.losses)
 		e.vms = append(e.vms, v)
--- a/tools/slopes/path.go
+++ b/tools/slopes/path.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ebonylock/ebonylock/modules/executor"
+	"github.com/ebonylock/ebonylock/modules/fetcher"
 	"github.com/ebonylock/ebonylock/modules/lister"
 	"github.com/ebonylock/ebonylock/modules/locator"
 	"github.com/ebonylock/ebonylock/modules/planner"
@@ -166,7 +167,7 @@
 		return err
 	}
 	defer b.Close()
-	c := executor.New(standin.MustAddr(b.ListEntry().Addr), 10)
+	c := executor.New(standin.MustAddr(b.ListEntry().Addr), 10, fetcher.Limits{})
 	n := 0
 	perUnit("HTTP run at a backend server, both ends", 1, func() {
 		n++
