Own interface: bytes that are no reply are not taken for a crash

What callers saw: a harmless search is refused for 10 minutes after two servers answered it with bytes that are no reply, such as a body or a head without end.

Cause: whatever ended an exchange and was no timeout counted as a lost connection, which is how a crash looks. fasthttp reports bytes that are not HTTP as a closed connection.

Change: a response that is not HTTP, too long, or for which there is no memory is a corrupt reply.

Result: TestBytesWithoutEndAreNoCrash, whose four cases failed before, passes. A reply that is cut off still looks like a crash there.

--- a/modules/executor/executor_test.go
+++ b/modules/executor/executor_test.go
@@ -156,6 +156,27 @@
 	}
 }
 
+// TestBytesWithoutEndAreNoCrash guards against a request that counts as one which crashes servers, since a server has
+// answered it with bytes that are no reply.
+func TestBytesWithoutEndAreNoCrash(t *testing.T) {
+	for name, reply := range map[string]string{
+		"no HTTP":     strings.Repeat("x", 1<<20),
+		"a long head": "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 1<<20),
+		"a long body": "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n" + strings.Repeat("x", 1<<20),
+		"no memory":   "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 1_000_000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			limits := fetcher.Limits{Memory: &rationer.Budget{Limit: 100_000}}
+			c := executor.New(rawServer(t, reply, reply), 4, limits)
+			_, err := c.Run(executor.Request{ID: "x", Generation: 1, Body: []byte("{}"), Deadline: time.Now().Add(5 * time.Second)})
+			is.True(errors.Is(err, executor.ErrUnknownOutcome))
+			is.True(errors.Is(err, executor.ErrCorrupt))
+			is.True(!errors.Is(err, executor.ErrLost))
+		})
+	}
+}
+
 // TestLateReplyIsNotTheNextOne lets a request time out and checks that its late reply is not returned
 // for the next request.
 func TestLateReplyIsNotTheNextOne(t *testing.T) {
--- a/modules/executor/http.go
+++ b/modules/executor/http.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/ebonylock/ebonylock/modules/fetcher"
+	"github.com/ebonylock/ebonylock/modules/rationer"
 )
 
 // HTTP paths of a backend server.
@@ -153,7 +154,8 @@
 		return notRun(errors.Join(ErrTooManyConns, err))
 	case errors.Is(err, fasthttp.ErrTimeout):
 		return unknownOutcome(errors.Join(ErrTimeout, err))
-	case errors.As(err, &syntaxErr), errors.As(err, &typeErr):
+	case errors.As(err, &syntaxErr), errors.As(err, &typeErr),
+		errors.Is(err, fetcher.ErrMalformed), errors.Is(err, fetcher.ErrTooLarge), errors.Is(err, rationer.ErrNoMemory):
 		return unknownOutcome(errors.Join(ErrCorrupt, err))
 	}
 	return unknownOutcome(errors.Join(ErrLost, err))
