--- a/tests/crowd/replies_test.go
+++ b/tests/crowd/replies_test.go
@@ -183,6 +183,40 @@
 	}
 }
 
+// TestSearchReplies is TestReplies for searches over ten shards, each of whose replicas sends more than the answer can
+// have.
+func TestSearchReplies(t *testing.T) {
+	const shards = 10
+	const ok = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+	block := bytes.Repeat([]byte("x"), 64<<10)
+	for _, memory := range []int{96, 160} {
+		for _, tc := range []struct {
+			name  string
+			reply faultyReply
+		}{
+			{"a body without a length", faultyReply{head: ok + "Connection: close\r\n\r\n", more: block}},
+			{"whole replies of 1 MB", faultyReply{head: ok + "Content-Length: 1048576\r\n\r\n", body: bytes.Repeat(block, 16)}},
+		} {
+			t.Run(fmt.Sprintf("%s, %d MiB", tc.name, memory), func(t *testing.T) {
+				const descriptors = 4000
+				f, vm := startSite(t, memory, descriptors)
+				var lists [][]netip.AddrPort
+				for range shards {
+					lists = append(lists, startFaultyReplicas(t, faultyReplicas/shards, tc.reply))
+				}
+				f.AddSearch("e", lists)
+				waitRoute(t, vm, "/e/x")
+				m := measure(vm.PID(), vm.Callers())
+				m.limit = memory << 20
+				askAll(t, replyCallers, replyRounds, askVM(vm, "/e/x"))
+				checkOrdinary(t, vm, "/write/x")
+				checkOrdinary(t, vm, "/search/x")
+				m.check(t, descriptors)
+			})
+		}
+	}
+}
+
 // waitRoute waits until a VM has the route of a path.
 func waitRoute(t *testing.T, vm *fleet.SiteVM, path string) {
 	t.Helper()
--- a/tests/fleet/site.go
+++ b/tests/fleet/site.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -52,7 +53,7 @@
 	// configs the number of configurations written.
 	maxConns, configs int
 	limits            Limits
-	// added holds the services that AddService has added, each with a route.
+	// added holds the routes that AddService and AddSearch have added.
 	added []string
 }
 
@@ -149,26 +150,41 @@
 func (f *SiteFleet) SetLimits(l Limits) {
 	f.limits = l
 	f.configs++
-	var routes strings.Builder
-	for _, s := range f.added {
-		fmt.Fprintf(&routes, `,
-		{"name":%[1]q,"hostname":"h.example","path_prefix":"/%[1]s/","type":"idempotent","timeout_ms":5000,"target_latency_ms":1000,"max_attempts":2,"service":%[1]q}`, s)
-	}
 	f.Store.Put("op/config", fmt.Appendf(nil, `{"version":%[2]d,"routes":[
 		{"name":"search","hostname":"h.example","path_prefix":"/search/","type":"idempotent","timeout_ms":5000,"target_latency_ms":1000,"max_attempts":2,"gather":["a","b"],"top_k":3,"min_shard_share":1},
 		{"name":"write","hostname":"h.example","path_prefix":"/write/","type":"non_idempotent","timeout_ms":5000,"target_latency_ms":1000,"max_attempts":2,"service":"c"}%[7]s],
 		"services":[{"name":"a","max_connections":%[1]d},{"name":"b","max_connections":%[1]d}],
 		"limits":{"max_header_bytes":%[3]d,"max_body_bytes":%[4]d,"header_timeout_ms":%[5]d,"idle_timeout_ms":%[6]d}}`,
-		f.maxConns, f.configs, l.MaxHeader, l.MaxBody, l.HeaderTimeout.Milliseconds(), l.IdleTimeout.Milliseconds(), &routes))
+		f.maxConns, f.configs, l.MaxHeader, l.MaxBody, l.HeaderTimeout.Milliseconds(), l.IdleTimeout.Milliseconds(), strings.Join(f.added, "")))
 }
 
 // AddService adds a service with replicas at the given addresses, and a route for the paths below its name.
 func (f *SiteFleet) AddService(service string, replicas []netip.AddrPort) {
+	f.putReplicas(service, replicas)
+	f.addRoute(service, fmt.Sprintf(`"service":%q`, service))
+}
+
+// AddSearch adds a search over as many shards as there are lists of replicas, and a route for the paths below its name.
+func (f *SiteFleet) AddSearch(search string, shards [][]netip.AddrPort) {
+	names := make([]string, len(shards))
+	for i, replicas := range shards {
+		service := fmt.Sprintf("%s%d", search, i)
+		f.putReplicas(service, replicas)
+		names[i] = strconv.Quote(service)
+	}
+	f.addRoute(search, fmt.Sprintf(`"gather":[%s],"top_k":3,"min_shard_share":0.5`, strings.Join(names, ",")))
+}
+
+func (f *SiteFleet) addRoute(name, services string) {
+	f.added = append(f.added, fmt.Sprintf(`,
+		{"name":%[1]q,"hostname":"h.example","path_prefix":"/%[1]s/","type":"idempotent","timeout_ms":5000,"target_latency_ms":1000,"max_attempts":2,%[2]s}`, name, services))
+	f.SetLimits(f.limits)
+}
+
+func (f *SiteFleet) putReplicas(service string, replicas []netip.AddrPort) {
 	for i, addr := range replicas {
 		f.putReplica(fmt.Sprintf("%s-%d", service, i+1), service, "dc-1", addr)
 	}
-	f.added = append(f.added, service)
-	f.SetLimits(f.limits)
 }
 
 // putReplica writes the entry of a replica.
