--- a/modules/quarantiner/evidence_test.go
+++ b/modules/quarantiner/evidence_test.go
@@ -8,44 +8,44 @@
 )
 
 var (
-	v1    = Target{Service: "a", Version: "1"}
-	v2    = Target{Service: "a", Version: "2"}
-	other = Target{Service: "b", Version: "1"}
+	v1    = Software{Service: "a", Version: "1"}
+	v2    = Software{Service: "a", Version: "2"}
+	other = Software{Service: "b", Version: "1"}
 )
 
 // step is an event of request 1 at a time after epoch: the loss of server, or a reply if server is empty.
 type step struct {
-	at     time.Duration
-	target Target
-	server string
+	at       time.Duration
+	software Software
+	server   string
 	// ran is the duration of the run that was lost.
 	ran time.Duration
 }
 
-// play records steps and returns the verdict on request 1 for a target at a time after epoch.
-func play(steps []step, target Target, at time.Duration) Verdict {
+// play records steps and returns the verdict on request 1 for a software at a time after epoch.
+func play(steps []step, software Software, at time.Duration) Verdict {
 	var r Tracker
 	for _, s := range steps {
 		now := epoch.Add(s.at)
 		if s.server == "" {
-			r.MarkAnswered(Answer{Fingerprint: 1, Group: 9, Target: s.target, At: now})
+			r.MarkAnswered(Answer{Fingerprint: 1, Group: 9, Software: s.software, At: now})
 			continue
 		}
-		r.Report(Loss{Fingerprint: 1, Group: 9, Target: s.target, Server: s.server, Began: now.Add(-s.ran), At: now})
+		r.Report(Loss{Fingerprint: 1, Group: 9, Software: s.software, Server: s.server, Began: now.Add(-s.ran), At: now})
 	}
-	return r.Verdict(1, target, epoch.Add(at))
+	return r.Verdict(1, software, epoch.Add(at))
 }
 
-// TestAnswerProvesItsTargetOnly guards against a request that was answered once and crashes servers without limit
+// TestAnswerProvesItsSoftwareOnly guards against a request that was answered once and crashes servers without limit
 // afterwards: those of another service or version, or the same ones after a change that nobody announced.
-func TestAnswerProvesItsTargetOnly(t *testing.T) {
+func TestAnswerProvesItsSoftwareOnly(t *testing.T) {
 	const s = time.Second
 	for _, tc := range []struct {
-		name   string
-		steps  []step
-		target Target
-		at     time.Duration
-		want   Verdict
+		name     string
+		steps    []step
+		software Software
+		at       time.Duration
+		want     Verdict
 	}{
 		{"service changes", []step{{0, v1, "", 0}, {s, other, "x", 0}, {2 * s, other, "y", 0}}, other, 3 * s, Blocked},
 		{"version changes", []step{{0, v1, "", 0}, {s, v2, "x", 0}, {2 * s, v2, "y", 0}}, v2, 3 * s, Blocked},
@@ -58,7 +58,7 @@
 		{"two losses long after a reply", []step{{0, v1, "", 0}, {700 * s, v1, "x", 0}, {701 * s, v1, "y", 0}}, v1, 702 * s, Blocked},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			is.New(t).Equal(play(tc.steps, tc.target, tc.at), tc.want)
+			is.New(t).Equal(play(tc.steps, tc.software, tc.at), tc.want)
 		})
 	}
 }
@@ -88,7 +88,7 @@
 	is := is.New(t)
 	var r Tracker
 	lose := func(f Fingerprint, server string, at time.Duration) bool {
-		return r.Report(Loss{Fingerprint: f, Group: f + 100, Target: v1, Server: server, At: epoch.Add(at)})
+		return r.Report(Loss{Fingerprint: f, Group: f + 100, Software: v1, Server: server, At: epoch.Add(at)})
 	}
 	verdict := func(f Fingerprint) Verdict { return r.Verdict(f, v1, epoch.Add(time.Minute)) }
 	lose(2, "a", 0)
@@ -109,12 +109,12 @@
 	is.Equal(verdict(5), Blocked) // one that is blocked explains no loss of another that would be blocked, too
 }
 
-// TestGroupAnswerProvesItsTargetOnly guards against a request with a field that differs in each attempt and that is
+// TestGroupAnswerProvesItsSoftwareOnly guards against a request with a field that differs in each attempt and that is
 // never blocked since another service replied to a request of its group.
-func TestGroupAnswerProvesItsTargetOnly(t *testing.T) {
+func TestGroupAnswerProvesItsSoftwareOnly(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
-		proven Target
+		proven Software
 		losses int
 		want   Verdict
 	}{
@@ -125,10 +125,10 @@
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			var r Tracker
-			r.MarkAnswered(Answer{Fingerprint: 50, Group: 9, Target: tc.proven, At: epoch})
+			r.MarkAnswered(Answer{Fingerprint: 50, Group: 9, Software: tc.proven, At: epoch})
 			for i := range tc.losses {
 				at := epoch.Add(time.Duration(i+1) * time.Second)
-				is.True(r.Report(Loss{Fingerprint: Fingerprint(i + 1), Group: 9, Target: other, Server: string(rune('a' + i)), At: at}))
+				is.True(r.Report(Loss{Fingerprint: Fingerprint(i + 1), Group: 9, Software: other, Server: string(rune('a' + i)), At: at}))
 			}
 			is.Equal(r.Verdict(9, other, epoch.Add(time.Minute)), tc.want)
 		})
@@ -140,17 +140,17 @@
 func TestAnswersTravelWithLosses(t *testing.T) {
 	is := is.New(t)
 	var seen, told Tracker
-	seen.MarkAnswered(Answer{Fingerprint: 1, Group: 9, Target: v1, At: epoch})
+	seen.MarkAnswered(Answer{Fingerprint: 1, Group: 9, Software: v1, At: epoch})
 	now := epoch.Add(3 * time.Second)
 	for i, server := range []string{"a", "b"} {
 		at := epoch.Add(time.Duration(i+1) * time.Second)
-		seen.Report(Loss{Fingerprint: 1, Group: 9, Target: v1, Server: server, At: at})
+		seen.Report(Loss{Fingerprint: 1, Group: 9, Software: v1, Server: server, At: at})
 	}
 	told.Merge(seen.Losses(true, now), now)
 	is.Equal(told.Verdict(1, v1, now), Suspect)
-	is.True(told.MarkAnswered(Answer{Fingerprint: 1, Group: 9, Target: v1, At: now}))
-	is.True(!told.MarkAnswered(Answer{Fingerprint: 1, Group: 9, Target: v1, At: now})) // no news
-	told.Merge(seen.Losses(true, now), now)                                            // older than the reply
+	is.True(told.MarkAnswered(Answer{Fingerprint: 1, Group: 9, Software: v1, At: now}))
+	is.True(!told.MarkAnswered(Answer{Fingerprint: 1, Group: 9, Software: v1, At: now})) // no news
+	told.Merge(seen.Losses(true, now), now)                                              // older than the reply
 	is.Equal(told.Verdict(1, v1, now), Allowed)
 }
 
@@ -162,7 +162,7 @@
 	var seen, told Tracker
 	for i, server := range []string{"a", "b"} {
 		at := epoch.Add(time.Duration(i+1) * ms)
-		seen.Report(Loss{Fingerprint: 1, Target: v1, Server: server, Began: at.Add(-ms), At: at})
+		seen.Report(Loss{Fingerprint: 1, Software: v1, Server: server, Began: at.Add(-ms), At: at})
 		late := epoch.Add(time.Second)
 		list := seen.LossesOf(1, at)
 		for j := range list {
--- a/modules/quarantiner/proof.go
+++ b/modules/quarantiner/proof.go
@@ -15,7 +15,7 @@
 	proofTime = 10 * time.Minute
 )
 
-// proofTable holds when targets last replied to requests. Each entry has one place, where it replaces
+// proofTable holds when pieces of software last replied to requests. Each entry has one place, where it replaces
 // another one, so that the table takes the same memory and time whatever the number of requests. A
 // request whose entry was replaced counts as never replied to. The zero value is ready for use.
 type proofTable struct {
@@ -34,7 +34,7 @@
 }
 
 // place returns the index and the tag of an entry.
-func place(f Fingerprint, t Target) (int, uint32) {
+func place(f Fingerprint, t Software) (int, uint32) {
 	var buf [128]byte
 	b := binary.LittleEndian.AppendUint64(buf[:0], uint64(f))
 	b = append(b, t.Service...)
@@ -45,7 +45,7 @@
 }
 
 // set records a reply. One that is older than the recorded one changes nothing.
-func (p *proofTable) set(f Fingerprint, t Target, at time.Time) {
+func (p *proofTable) set(f Fingerprint, t Software, at time.Time) {
 	if p.entries == nil {
 		p.entries = make([]proof, maxProofs)
 		// Replies that other VMs report may be older than the first one here.
@@ -62,7 +62,7 @@
 }
 
 // last returns the time of the last reply, rounded down to a second; zero if there is none.
-func (p *proofTable) last(f Fingerprint, t Target) time.Time {
+func (p *proofTable) last(f Fingerprint, t Software) time.Time {
 	if p.entries == nil {
 		return time.Time{}
 	}
@@ -75,7 +75,7 @@
 }
 
 // upTo is like last, but returns no time after the given one.
-func (p *proofTable) upTo(f Fingerprint, t Target, latest time.Time) time.Time {
+func (p *proofTable) upTo(f Fingerprint, t Software, latest time.Time) time.Time {
 	if last := p.last(f, t); last.Before(latest) {
 		return last
 	}
@@ -83,7 +83,7 @@
 }
 
 // holds reports whether the last reply is recent enough to prove that a request is harmless.
-func (p *proofTable) holds(f Fingerprint, t Target, now time.Time) bool {
+func (p *proofTable) holds(f Fingerprint, t Software, now time.Time) bool {
 	last := p.last(f, t)
 	return !last.IsZero() && now.Sub(last) <= proofTime
 }
--- a/modules/quarantiner/quarantiner.go
+++ b/modules/quarantiner/quarantiner.go
@@ -2,9 +2,9 @@
 // that was running when a server was lost is a suspect; a suspect that loses another server is
 // blocked.
 //
-// A complete reply shows that the software that gave it, the Target, runs the request without harm.
-// It clears the request of the earlier losses of that target, and for a time one more loss is needed
-// to block it there. It says nothing about other targets, and does not outweigh losses that follow.
+// A complete reply shows that the software that gave it runs the request without harm. It clears the
+// request of the earlier losses of that software, and for a time one more loss is needed to block it
+// there. It says nothing about other software, and does not outweigh losses that follow.
 //
 // Not every request that runs on a server that is lost is to blame:
 //   - Runs that overlap in time count as one loss, as they may have ended for the same reason.
@@ -35,8 +35,8 @@
 	return Fingerprint(h.Sum64())
 }
 
-// Target identifies the software that runs a request.
-type Target struct {
+// Software identifies the software that runs a request.
+type Software struct {
 	Service string
 	// Version is that of the software or the data of the service's servers. It may be empty.
 	Version string
@@ -46,14 +46,14 @@
 type Loss struct {
 	Fingerprint Fingerprint
 	// Group identifies the group of the request; 0 if it has none.
-	Group  Fingerprint
-	Target Target
+	Group    Fingerprint
+	Software Software
 	// Server is the ID of the server.
 	Server string
 	// Began is the time at which the run began. It is not after At; zero means At.
 	Began time.Time
 	At    time.Time
-	// Answered is the last time up to At at which the target is known to have replied to the request,
+	// Answered is the last time up to At at which the software is known to have replied to the request,
 	// and GroupAnswered that for any request of the group. They are zero if there is none.
 	Answered, GroupAnswered time.Time
 }
@@ -74,9 +74,9 @@
 type Answer struct {
 	Fingerprint Fingerprint
 	// Group identifies the group of the request; 0 if it has none.
-	Group  Fingerprint
-	Target Target
-	At     time.Time
+	Group    Fingerprint
+	Software Software
+	At       time.Time
 }
 
 // Verdict says whether and how a request may run.
@@ -103,11 +103,11 @@
 	// before the whole group is blocked. It covers a request with a header field that differs in each
 	// attempt.
 	blockGroupAfter = 3
-	// provenExtra is the number of losses needed in addition if the target has replied to the request
+	// provenExtra is the number of losses needed in addition if the software has replied to the request
 	// or to another one of its group. Such a request probably ran beside the one to blame.
 	provenExtra = 1
 	// maxLosses limits the losses that are kept of a request or group. There are more of them than
-	// needed to block it, as some overlap or are of other targets.
+	// needed to block it, as some overlap or are of other software.
 	maxLosses = 8
 	// duplicateWindow is the longest time between two reports of the same loss. No server restarts
 	// in less, so that reports further apart are of different losses.
@@ -128,7 +128,7 @@
 	maxRecords = 4096
 )
 
-// Tracker records losses, and which targets have replied to which requests. The zero value is ready
+// Tracker records losses, and which pieces of software have replied to which requests. The zero value is ready
 // for use. It is safe for concurrent use.
 type Tracker struct {
 	// Retention is the time for which a loss counts; 0 means 10 minutes.
@@ -156,19 +156,19 @@
 func (r *Tracker) MarkAnswered(a Answer) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	suspect := r.verdict(a.Fingerprint, a.Target, a.At) != Allowed
-	r.prove(a.Group, a.Target, a.At)
-	return r.prove(a.Fingerprint, a.Target, a.At) && suspect
+	suspect := r.verdict(a.Fingerprint, a.Software, a.At) != Allowed
+	r.prove(a.Group, a.Software, a.At)
+	return r.prove(a.Fingerprint, a.Software, a.At) && suspect
 }
 
-// prove records that a target replied to f, and drops the earlier losses there. It returns true if
+// prove records that the software replied to f, and drops the earlier losses there. It returns true if
 // there were any. It does nothing if f or at is zero.
-func (r *Tracker) prove(f Fingerprint, t Target, at time.Time) bool {
+func (r *Tracker) prove(f Fingerprint, t Software, at time.Time) bool {
 	if f == 0 || at.IsZero() {
 		return false
 	}
 	r.proofs.set(f, t, at)
-	return r.drop(f, func(l knownLoss) bool { return l.Target == t && !l.At.After(at) })
+	return r.drop(f, func(l knownLoss) bool { return l.Software == t && !l.At.After(at) })
 }
 
 // drop removes the losses of f for which remove returns true. It returns true if there were any.
@@ -185,17 +185,17 @@
 	return len(rec.losses) < before
 }
 
-// LastAnswer returns the last time at which a target is known to have replied to f, rounded down to
+// LastAnswer returns the last time at which the software is known to have replied to f, rounded down to
 // a second; zero if there is none. Replies long ago may be forgotten.
-func (r *Tracker) LastAnswer(f Fingerprint, t Target) time.Time {
+func (r *Tracker) LastAnswer(f Fingerprint, t Software) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.proofs.last(f, t)
 }
 
-// Proven reports whether a target has replied to f recently enough that f is believed to be harmless
+// Proven reports whether the software has replied to f recently enough that f is believed to be harmless
 // there.
-func (r *Tracker) Proven(f Fingerprint, t Target, now time.Time) bool {
+func (r *Tracker) Proven(f Fingerprint, t Software, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.proofs.holds(f, t, now)
@@ -209,14 +209,14 @@
 	return slices.ContainsFunc(list, func(f Fingerprint) bool { return r.records[f] != nil })
 }
 
-// Verdict returns whether and how f may run on a target.
-func (r *Tracker) Verdict(f Fingerprint, t Target, now time.Time) Verdict {
+// Verdict returns whether and how f may run on the software.
+func (r *Tracker) Verdict(f Fingerprint, t Software, now time.Time) Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.verdict(f, t, now)
 }
 
-func (r *Tracker) verdict(f Fingerprint, t Target, now time.Time) Verdict {
+func (r *Tracker) verdict(f Fingerprint, t Software, now time.Time) Verdict {
 	keep := r.retention()
 	r.drop(f, func(l knownLoss) bool { return now.Sub(l.At) > keep })
 	rec := r.records[f]
@@ -231,8 +231,8 @@
 	if proven || !rec.isGroup && r.proofs.holds(rec.losses[0].Group, t, now) {
 		limit += provenExtra
 	}
-	// The losses of other targets are no evidence against a request that this one has replied to.
-	switch n := rec.count(func(l knownLoss) bool { return !proven || l.Target == t }); {
+	// The losses of other software are no evidence against a request that this one has replied to.
+	switch n := rec.count(func(l knownLoss) bool { return !proven || l.Software == t }); {
 	case n >= limit:
 		return Blocked
 	case n == limit-1 && !rec.isGroup:
@@ -243,7 +243,7 @@
 
 // TryAcquire claims the only run of a suspect. It returns false if a run is in progress or the
 // request is not a suspect.
-func (r *Tracker) TryAcquire(f Fingerprint, t Target, now time.Time) bool {
+func (r *Tracker) TryAcquire(f Fingerprint, t Software, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.verdict(f, t, now) != Suspect || r.records[f].running {
@@ -288,10 +288,10 @@
 	if l.Began.IsZero() {
 		l.Began = l.At
 	}
-	r.prove(l.Fingerprint, l.Target, l.Answered)
-	r.prove(l.Group, l.Target, l.GroupAnswered)
-	if !r.proofs.last(l.Fingerprint, l.Target).Before(l.At) {
-		return false // the target has replied since
+	r.prove(l.Fingerprint, l.Software, l.Answered)
+	r.prove(l.Group, l.Software, l.GroupAnswered)
+	if !r.proofs.last(l.Fingerprint, l.Software).Before(l.At) {
+		return false // the software has replied since
 	}
 	rec := r.record(l.Fingerprint)
 	if i := rec.find(l, window); i >= 0 {
@@ -301,7 +301,7 @@
 	if !rec.insert(knownLoss{l, learned}) {
 		return false
 	}
-	blocked := r.verdict(l.Fingerprint, l.Target, l.At) == Blocked
+	blocked := r.verdict(l.Fingerprint, l.Software, l.At) == Blocked
 	if r.isBlamed(l) && !blocked {
 		r.drop(l.Fingerprint, func(k knownLoss) bool { return k.Server == l.Server && k.At.Equal(l.At) })
 		return false
@@ -319,7 +319,7 @@
 // addToGroup records a loss for the group of its request, unless the group has one of the same request
 // or server, or a reply since.
 func (r *Tracker) addToGroup(l Loss, learned time.Time, window time.Duration) {
-	if l.Group == 0 || !r.proofs.last(l.Group, l.Target).Before(l.At) {
+	if l.Group == 0 || !r.proofs.last(l.Group, l.Software).Before(l.At) {
 		return
 	}
 	group := r.record(l.Group)
@@ -348,7 +348,7 @@
 			continue
 		}
 		i := slices.IndexFunc(rec.losses, func(k knownLoss) bool { return r.isBlamed(k.Loss) })
-		if i >= 0 && r.verdict(f, rec.losses[i].Target, l.At) != Blocked {
+		if i >= 0 && r.verdict(f, rec.losses[i].Software, l.At) != Blocked {
 			r.drop(f, func(k knownLoss) bool { return r.isBlamed(k.Loss) })
 		}
 	}
@@ -416,8 +416,8 @@
 func (r *Tracker) appendReports(out []Loss, rec *record, report func(knownLoss) bool) []Loss {
 	for _, l := range rec.losses {
 		if report(l) {
-			l.Answered = r.proofs.upTo(l.Fingerprint, l.Target, l.At)
-			l.GroupAnswered = r.proofs.upTo(l.Group, l.Target, l.At)
+			l.Answered = r.proofs.upTo(l.Fingerprint, l.Software, l.At)
+			l.GroupAnswered = r.proofs.upTo(l.Group, l.Software, l.At)
 			out = append(out, l.Loss)
 		}
 	}
--- a/modules/quarantiner/quarantiner_test.go
+++ b/modules/quarantiner/quarantiner_test.go
@@ -34,7 +34,7 @@
 			for _, l := range tc.losses {
 				r.Report(l)
 			}
-			is.Equal(r.Verdict(1, Target{}, epoch.Add(tc.at)), tc.want)
+			is.Equal(r.Verdict(1, Software{}, epoch.Add(tc.at)), tc.want)
 		})
 	}
 }
@@ -42,12 +42,12 @@
 func TestSuspectRunsAlone(t *testing.T) {
 	is := is.New(t)
 	var r Tracker
-	is.True(!r.TryAcquire(1, Target{}, epoch)) // not a suspect
+	is.True(!r.TryAcquire(1, Software{}, epoch)) // not a suspect
 	r.Report(Loss{Fingerprint: 1, Server: "a", At: epoch})
-	is.True(r.TryAcquire(1, Target{}, epoch))
-	is.True(!r.TryAcquire(1, Target{}, epoch))
+	is.True(r.TryAcquire(1, Software{}, epoch))
+	is.True(!r.TryAcquire(1, Software{}, epoch))
 	r.Release(1)
-	is.True(r.TryAcquire(1, Target{}, epoch))
+	is.True(r.TryAcquire(1, Software{}, epoch))
 }
 
 // TestBystander checks that a request known to be safe does not become a suspect after a crash.
@@ -56,10 +56,10 @@
 	var r Tracker
 	r.MarkAnswered(Answer{Fingerprint: 1, At: epoch})
 	is.True(!r.Report(Loss{Fingerprint: 1, Server: "a", At: epoch}))
-	is.Equal(r.Verdict(1, Target{}, epoch), Allowed)
+	is.Equal(r.Verdict(1, Software{}, epoch), Allowed)
 	r.Report(Loss{Fingerprint: 2, Server: "a", At: epoch})
 	r.MarkAnswered(Answer{Fingerprint: 2, At: epoch})
-	is.Equal(r.Verdict(2, Target{}, epoch), Allowed) // a complete reply clears a suspect
+	is.Equal(r.Verdict(2, Software{}, epoch), Allowed) // a complete reply clears a suspect
 }
 
 func TestBounds(t *testing.T) {
@@ -91,16 +91,16 @@
 	var r Tracker
 	r.MarkAnswered(Answer{Fingerprint: 3, Group: 9, At: epoch.Add(-time.Second)})
 	for i, server := range []string{"a", "b", "c"} {
-		is.Equal(r.Verdict(1, Target{}, epoch) == Blocked, false)
+		is.Equal(r.Verdict(1, Software{}, epoch) == Blocked, false)
 		is.True(r.Report(Loss{Fingerprint: 1, Group: 9, Server: server, At: epoch}))
 		if i < 2 { // others ran beside it
 			is.True(r.Report(Loss{Fingerprint: 2, Group: 9, Server: server, At: epoch}))
 		}
 	}
 	r.MarkAnswered(Answer{Fingerprint: 3, Group: 9, At: epoch}) // to another request
-	is.Equal(r.Verdict(1, Target{}, epoch), Blocked)
+	is.Equal(r.Verdict(1, Software{}, epoch), Blocked)
 	for _, f := range []Fingerprint{2, 3, 9} {
-		is.True(r.Verdict(f, Target{}, epoch) != Blocked)
+		is.True(r.Verdict(f, Software{}, epoch) != Blocked)
 	}
 }
 
@@ -123,9 +123,9 @@
 			for i, f := range tc.requests {
 				r.Report(Loss{Fingerprint: f, Group: 9, Server: tc.servers[i], At: epoch})
 			}
-			is.Equal(r.Verdict(9, Target{}, epoch), tc.want)
+			is.Equal(r.Verdict(9, Software{}, epoch), tc.want)
 			r.Report(Loss{Fingerprint: 4, Group: 9, GroupAnswered: epoch, Server: "d", At: epoch})
-			is.Equal(r.Verdict(9, Target{}, epoch), Allowed)
+			is.Equal(r.Verdict(9, Software{}, epoch), Allowed)
 		})
 	}
 }
@@ -149,14 +149,14 @@
 			list[i].At = list[i].At.Add(500 * time.Millisecond) // time on the way
 		}
 	}
-	is.Equal(started.Verdict(1, Target{}, now), Blocked)
-	is.Equal(started.Verdict(2, Target{}, now), Suspect)
+	is.Equal(started.Verdict(1, Software{}, now), Blocked)
+	is.Equal(started.Verdict(2, Software{}, now), Suspect)
 	third.Merge(started.Losses(false, now), now) // it passes on what it has just learned
-	is.Equal(third.Verdict(1, Target{}, now), Blocked)
+	is.Equal(third.Verdict(1, Software{}, now), Blocked)
 	is.Equal(len(started.Losses(false, now.Add(time.Minute))), 0)
-	is.Equal(third.Verdict(1, Target{}, epoch.Add(defaultRetention+time.Minute)), Allowed) // age is kept on the way
+	is.Equal(third.Verdict(1, Software{}, epoch.Add(defaultRetention+time.Minute)), Allowed) // age is kept on the way
 	old.Merge([]Loss{{Fingerprint: 5, Server: "a", At: now.Add(-time.Hour)}}, now)
-	is.Equal(old.Verdict(5, Target{}, now), Allowed)
+	is.Equal(old.Verdict(5, Software{}, now), Allowed)
 }
 
 // TestBlockedRequestIsKept guards against the record of a crashing request being pushed out by the losses of many
@@ -170,7 +170,7 @@
 	for i := range Fingerprint(maxRecords + 10) {
 		r.Report(Loss{Fingerprint: i + 10, Server: "c", At: epoch.Add(time.Duration(i))})
 	}
-	is.Equal(r.Verdict(1, Target{}, epoch), Blocked)
+	is.Equal(r.Verdict(1, Software{}, epoch), Blocked)
 	is.Equal(len(r.Losses(true, epoch.Add(time.Second))), MaxReported)
 	is.Equal(len(r.Losses(false, epoch.Add(time.Second))), maxRecent)
 }
--- a/modules/rationer/budget.go
+++ b/modules/rationer/budget.go
@@ -24,6 +24,15 @@
 	// must be set before use.
 	Limit int64
 	used  atomic.Int64
+	// stopped counts the messages that got ErrNoMemory.
+	stopped atomic.Uint64
+}
+
+func (b *Budget) limit() int64 {
+	if b.Limit > 0 {
+		return b.Limit
+	}
+	return defaultBudget
 }
 
 // Used returns the number of bytes that all messages take beyond FreeBytes each.
@@ -49,12 +58,9 @@
 	if p.size <= FreeBytes {
 		return nil
 	}
-	limit := p.Budget.Limit
-	if limit <= 0 {
-		limit = defaultBudget
-	}
-	left := limit - p.Budget.used.Add(p.size-before)
+	left := p.Budget.limit() - p.Budget.used.Add(p.size-before)
 	if p.size-FreeBytes > freeRatio*left {
+		p.Budget.stopped.Add(1)
 		return ErrNoMemory
 	}
 	return nil
--- a/services/dispatcher/dispatcher.go
+++ b/services/dispatcher/dispatcher.go
@@ -29,18 +29,18 @@
 // Quarantine tracks backend servers that were lost while they ran a request, and limits how
 // the requests under suspicion may run.
 type Quarantine interface {
-	// Verdict returns how a request may be run by a target.
-	Verdict(f quarantiner.Fingerprint, t quarantiner.Target, now time.Time) quarantiner.Verdict
+	// Verdict returns how a request may be run by the software.
+	Verdict(f quarantiner.Fingerprint, t quarantiner.Software, now time.Time) quarantiner.Verdict
 	// TryAcquire claims the only run that a suspect request may have at a time. It returns false
 	// if the request is already running or is blocked.
-	TryAcquire(f quarantiner.Fingerprint, t quarantiner.Target, now time.Time) bool
+	TryAcquire(f quarantiner.Fingerprint, t quarantiner.Software, now time.Time) bool
 	// Release ends the claim made by TryAcquire.
 	Release(f quarantiner.Fingerprint)
 	// Report adds a loss and returns true if it is new.
 	Report(l quarantiner.Loss) bool
-	// LastAnswer returns the last time at which a target replied to a request; zero if it is not known to
+	// LastAnswer returns the last time at which the software replied to a request; zero if it is not known to
 	// have replied.
-	LastAnswer(f quarantiner.Fingerprint, t quarantiner.Target) time.Time
+	LastAnswer(f quarantiner.Fingerprint, t quarantiner.Software) time.Time
 	// MarkAnswered records a complete reply. It returns true if the reply clears a suspect.
 	MarkAnswered(a quarantiner.Answer) bool
 }
@@ -184,7 +184,7 @@
 		s.replyWithGenerations(t)
 		return
 	}
-	if d.quarantine.Verdict(t.request.Fingerprint, t.request.Target(), now) == quarantiner.Blocked {
+	if d.quarantine.Verdict(t.request.Fingerprint, t.request.Software(), now) == quarantiner.Blocked {
 		t.fail(notRun(ErrQuarantined), 0)
 		return
 	}
@@ -223,7 +223,7 @@
 func (d *Dispatcher) run(s *server, t *task) {
 	defer d.startQueued(s)
 	started := time.Now()
-	verdict := d.quarantine.Verdict(t.request.Fingerprint, t.request.Target(), started)
+	verdict := d.quarantine.Verdict(t.request.Fingerprint, t.request.Software(), started)
 	if verdict == quarantiner.Blocked {
 		// It was blocked while it was queued.
 		s.finish(limiter.Neutral, 0, "")
@@ -231,7 +231,7 @@
 		return
 	}
 	suspect := verdict == quarantiner.Suspect
-	if suspect && !d.quarantine.TryAcquire(t.request.Fingerprint, t.request.Target(), started) {
+	if suspect && !d.quarantine.TryAcquire(t.request.Fingerprint, t.request.Software(), started) {
 		s.finish(limiter.Neutral, 0, "")
 		t.fail(notRun(ErrSuspectRunning), s.load())
 		return
@@ -293,7 +293,7 @@
 	took := time.Since(started)
 	s.updateGenerations(reply)
 	if err == nil {
-		d.quarantine.MarkAnswered(quarantiner.Answer{Fingerprint: t.request.Fingerprint, Target: t.request.Target(), At: time.Now()})
+		d.quarantine.MarkAnswered(quarantiner.Answer{Fingerprint: t.request.Fingerprint, Software: t.request.Software(), At: time.Now()})
 		s.finish(limiter.Done, took, reply.BootID)
 		t.finish(Event{Index: t.index, Kind: Done, Reply: reply, Load: s.load()})
 		return
@@ -338,16 +338,16 @@
 	if t.request.Fingerprint == 0 || !errors.Is(err, executor.ErrLost) {
 		return
 	}
-	target := t.request.Target()
+	software := t.request.Software()
 	loss := quarantiner.Loss{
-		Fingerprint: t.request.Fingerprint, Target: target, Server: s.info.ID, Began: started, At: now,
-		Answered: d.quarantine.LastAnswer(t.request.Fingerprint, target),
+		Fingerprint: t.request.Fingerprint, Software: software, Server: s.info.ID, Began: started, At: now,
+		Answered: d.quarantine.LastAnswer(t.request.Fingerprint, software),
 	}
 	if !d.quarantine.Report(loss) {
 		return
 	}
 	kind := recorder.RequestSuspect
-	if d.quarantine.Verdict(loss.Fingerprint, target, now) == quarantiner.Blocked {
+	if d.quarantine.Verdict(loss.Fingerprint, software, now) == quarantiner.Blocked {
 		kind = recorder.RequestQuarantined
 	}
 	d.ring.Record(now, kind, s.info.ID, "server lost while it ran the request")
--- a/services/dispatcher/types.go
+++ b/services/dispatcher/types.go
@@ -58,15 +58,15 @@
 	Fingerprint quarantiner.Fingerprint
 }
 
-// Target returns what runs the request, as the quarantine distinguishes it. Servers don't state the version
+// Software returns what runs the request, as the quarantine distinguishes it. Servers don't state the version
 // of their software, but what a request meets there changes with the index generation.
-func (s *Subrequest) Target() quarantiner.Target {
-	return TargetOf(s.Service, s.Generation)
+func (s *Subrequest) Software() quarantiner.Software {
+	return SoftwareOf(s.Service, s.Generation)
 }
 
-// TargetOf returns the Target of requests that read a generation of a service.
-func TargetOf(service string, generation uint64) quarantiner.Target {
-	return quarantiner.Target{Service: service, Version: strconv.FormatUint(generation, 10)}
+// SoftwareOf returns the software that runs requests that read a generation of a service.
+func SoftwareOf(service string, generation uint64) quarantiner.Software {
+	return quarantiner.Software{Service: service, Version: strconv.FormatUint(generation, 10)}
 }
 
 // EventKind is the kind of an Event.
--- a/services/forwarder/forwarder_test.go
+++ b/services/forwarder/forwarder_test.go
@@ -657,7 +657,7 @@
 		is.Equal(a.Status, http.StatusServiceUnavailable)
 		is.Equal(b.total(), before)
 		fp := quarantiner.FingerprintOf("GET h/read/poison", nil)
-		is.Equal(elsewhere.Verdict(fp, quarantiner.Target{Service: "single"}, time.Now()), quarantiner.Blocked) // other VMs know
+		is.Equal(elsewhere.Verdict(fp, quarantiner.Software{Service: "single"}, time.Now()), quarantiner.Blocked) // other VMs know
 		// A request that gets replies between the crashes during its runs is never quarantined.
 		for range 3 {
 			poison = true
--- a/services/forwarder/quarantine.go
+++ b/services/forwarder/quarantine.go
@@ -14,9 +14,9 @@
 // probeTimeout limits the check whether a replica that broke a connection still accepts new ones.
 const probeTimeout = 300 * time.Millisecond
 
-// targetOf returns what the quarantine knows a replica's software by.
-func targetOf(c *registrar.Candidate) quarantiner.Target {
-	return quarantiner.Target{Service: c.Service, Version: c.Version}
+// softwareOf returns what the quarantine knows a replica's software by.
+func softwareOf(c *registrar.Candidate) quarantiner.Software {
+	return quarantiner.Software{Service: c.Service, Version: c.Version}
 }
 
 // suspected reports whether a request, or one of its group, ran on a replica that was lost. If not, it
@@ -27,7 +27,7 @@
 
 // verdict returns whether and how a replica may run a request.
 func (f *Forwarder) verdict(id identity, c *registrar.Candidate, now time.Time) quarantiner.Verdict {
-	q, t := f.cfg.Quarantine, targetOf(c)
+	q, t := f.cfg.Quarantine, softwareOf(c)
 	if q.Verdict(id.group, t, now) == quarantiner.Blocked {
 		return quarantiner.Blocked
 	}
@@ -58,7 +58,7 @@
 	if cfg.Quarantine == nil {
 		return
 	}
-	answer := quarantiner.Answer{Fingerprint: fl.identity.request, Group: fl.identity.group, Target: targetOf(a.to), At: at}
+	answer := quarantiner.Answer{Fingerprint: fl.identity.request, Group: fl.identity.group, Software: softwareOf(a.to), At: at}
 	if cfg.Quarantine.MarkAnswered(answer) && cfg.AnnounceAnswer != nil {
 		cfg.AnnounceAnswer(answer)
 	}
@@ -76,9 +76,9 @@
 	if f.backend.Probe(ctx, c) == nil {
 		return
 	}
-	t := targetOf(c)
+	t := softwareOf(c)
 	l := quarantiner.Loss{
-		Fingerprint: id.request, Group: id.group, Target: t, Server: c.Key, Began: a.sent, At: at,
+		Fingerprint: id.request, Group: id.group, Software: t, Server: c.Key, Began: a.sent, At: at,
 	}
 	if !q.Report(l) {
 		return
--- a/services/forwarder/types.go
+++ b/services/forwarder/types.go
@@ -190,11 +190,11 @@
 type Quarantine interface {
 	// HasLosses returns whether any loss of one of these requests or groups is recorded.
 	HasLosses(list ...quarantiner.Fingerprint) bool
-	// Verdict returns whether, and how, a request may be run by a target.
-	Verdict(f quarantiner.Fingerprint, t quarantiner.Target, now time.Time) quarantiner.Verdict
-	// Proven reports whether a target has replied to a request recently enough that it is believed to be
+	// Verdict returns whether, and how, a request may be run by the software.
+	Verdict(f quarantiner.Fingerprint, t quarantiner.Software, now time.Time) quarantiner.Verdict
+	// Proven reports whether the software has replied to a request recently enough that it is believed to be
 	// harmless there.
-	Proven(f quarantiner.Fingerprint, t quarantiner.Target, now time.Time) bool
+	Proven(f quarantiner.Fingerprint, t quarantiner.Software, now time.Time) bool
 	// MarkAnswered records a complete reply. It returns true if the other VMs should learn of it.
 	MarkAnswered(a quarantiner.Answer) bool
 	// LossesOf returns the losses of a request.
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -237,6 +237,7 @@
 		}, func() float64 { return float64(d.spool.Dropped()) }),
 	)
 	d.clients.Register(reg)
+	d.backend.Memory.Register(reg)
 	d.forward.Register(reg)
 	d.follow.Register(reg)
 	d.gossip.Register(reg)
--- a/services/launcher/losses_test.go
+++ b/services/launcher/losses_test.go
@@ -25,7 +25,7 @@
 	source := p.Sources(1)[0]
 	_, err := source.Source.Snapshot(context.Background())
 	is.NoErr(err)
-	is.Equal(losses.Verdict(1, quarantiner.Target{}, time.Now()), quarantiner.Blocked)
+	is.Equal(losses.Verdict(1, quarantiner.Software{}, time.Now()), quarantiner.Blocked)
 	is.Equal(vm.d.provider.losses, &vm.d.quarantine)
 }
 
@@ -36,7 +36,7 @@
 	vm.d.quarantine.Merge([]quarantiner.Loss{l}, time.Now())
 	l.At = time.Now()
 	vm.d.relay.OnLosses([]quarantiner.Loss{l})
-	is.New(t).Equal(vm.d.quarantine.Verdict(1, quarantiner.Target{}, time.Now()), quarantiner.Suspect)
+	is.New(t).Equal(vm.d.quarantine.Verdict(1, quarantiner.Software{}, time.Now()), quarantiner.Suspect)
 }
 
 // TestReportedAnswerClearsSuspect guards against a VM that goes on to suspect a request to which another VM has had a
@@ -45,9 +45,9 @@
 	vm := start(t)
 	is := is.New(t)
 	now := time.Now()
-	target := quarantiner.Target{Service: "s", Version: "v1"}
-	vm.d.quarantine.Report(quarantiner.Loss{Fingerprint: 1, Target: target, Server: "c-1", At: now})
-	is.Equal(vm.d.quarantine.Verdict(1, target, now), quarantiner.Suspect)
-	vm.d.relay.OnAnswer(quarantiner.Answer{Fingerprint: 1, Target: target, At: now})
-	is.Equal(vm.d.quarantine.Verdict(1, target, now), quarantiner.Allowed)
+	software := quarantiner.Software{Service: "s", Version: "v1"}
+	vm.d.quarantine.Report(quarantiner.Loss{Fingerprint: 1, Software: software, Server: "c-1", At: now})
+	is.Equal(vm.d.quarantine.Verdict(1, software, now), quarantiner.Suspect)
+	vm.d.relay.OnAnswer(quarantiner.Answer{Fingerprint: 1, Software: software, At: now})
+	is.Equal(vm.d.quarantine.Verdict(1, software, now), quarantiner.Allowed)
 }
--- a/services/linker/codec.go
+++ b/services/linker/codec.go
@@ -340,7 +340,7 @@
 	return names, revision, err
 }
 
-// Field numbers of a loss. Those up to lossAt and those of its target are used for an answer as well.
+// Field numbers of a loss. Those up to lossAt and those of its software are used for an answer as well.
 // Durations are in microseconds before lossAt; those of replies are greater by one, as 0 stands for none.
 const (
 	lossFingerprint   = 1
@@ -359,7 +359,7 @@
 
 // AppendLoss appends the encoding of a loss, in which VMs report it to each other, to b.
 func AppendLoss(b []byte, l quarantiner.Loss) []byte {
-	b = AppendAnswer(b, quarantiner.Answer{Fingerprint: l.Fingerprint, Group: l.Group, Target: l.Target, At: l.At})
+	b = AppendAnswer(b, quarantiner.Answer{Fingerprint: l.Fingerprint, Group: l.Group, Software: l.Software, At: l.At})
 	b = encoder.AppendBytes(b, lossServer, []byte(l.Server))
 	if !l.Began.IsZero() {
 		b = encoder.AppendVarint(b, lossRan, uint64(max(l.At.Sub(l.Began), 0).Microseconds()))
@@ -382,7 +382,7 @@
 	if err != nil {
 		return quarantiner.Loss{}, err
 	}
-	l := quarantiner.Loss{Fingerprint: a.Fingerprint, Group: a.Group, Target: a.Target, At: a.At}
+	l := quarantiner.Loss{Fingerprint: a.Fingerprint, Group: a.Group, Software: a.Software, At: a.At}
 	err = encoder.Fields(b, func(num protowire.Number, v uint64, raw []byte) error {
 		before := func(v uint64) time.Time {
 			return l.At.Add(-time.Duration(min(v, uint64(maxReportAge.Microseconds()))) * time.Microsecond)
@@ -406,8 +406,8 @@
 func AppendAnswer(b []byte, a quarantiner.Answer) []byte {
 	b = encoder.AppendVarint(b, lossFingerprint, uint64(a.Fingerprint))
 	b = encoder.AppendVarint(b, lossGroup, uint64(a.Group))
-	b = encoder.AppendBytes(b, lossService, []byte(a.Target.Service))
-	b = encoder.AppendBytes(b, lossVersion, []byte(a.Target.Version))
+	b = encoder.AppendBytes(b, lossService, []byte(a.Software.Service))
+	b = encoder.AppendBytes(b, lossVersion, []byte(a.Software.Version))
 	return encoder.AppendVarint(b, lossAt, unixMicro(a.At))
 }
 
@@ -423,9 +423,9 @@
 		case lossGroup:
 			a.Group = quarantiner.Fingerprint(v)
 		case lossService:
-			a.Target.Service = string(raw)
+			a.Software.Service = string(raw)
 		case lossVersion:
-			a.Target.Version = string(raw)
+			a.Software.Version = string(raw)
 		}
 		return nil
 	})
--- a/services/relayer/relayer_test.go
+++ b/services/relayer/relayer_test.go
@@ -157,7 +157,7 @@
 	defer s.Close()
 	c, err := NewClient(s.Addr(), keys)
 	is.NoErr(err)
-	a := quarantiner.Answer{Fingerprint: 1 << 63, Group: 2, Target: quarantiner.Target{Service: "s", Version: "v1"}, At: time.UnixMilli(1767225600000)}
+	a := quarantiner.Answer{Fingerprint: 1 << 63, Group: 2, Software: quarantiner.Software{Service: "s", Version: "v1"}, At: time.UnixMilli(1767225600000)}
 	before := time.Now()
 	is.NoErr(c.ReportAnswer(a))
 	got := <-received
@@ -250,13 +250,13 @@
 	}
 	lose(1, 5*time.Minute)
 	read()
-	is.Equal(learned.Verdict(1, quarantiner.Target{}, now), quarantiner.Blocked)
-	is.Equal(learned.Verdict(1, quarantiner.Target{}, now.Add(6*time.Minute)), quarantiner.Allowed) // ten minutes after the losses
+	is.Equal(learned.Verdict(1, quarantiner.Software{}, now), quarantiner.Blocked)
+	is.Equal(learned.Verdict(1, quarantiner.Software{}, now.Add(6*time.Minute)), quarantiner.Allowed) // ten minutes after the losses
 	lose(2, time.Minute)
 	lose(3, 0)
 	read()
-	is.Equal(learned.Verdict(2, quarantiner.Target{}, now), quarantiner.Allowed)
-	is.Equal(learned.Verdict(3, quarantiner.Target{}, now), quarantiner.Blocked)
+	is.Equal(learned.Verdict(2, quarantiner.Software{}, now), quarantiner.Allowed)
+	is.Equal(learned.Verdict(3, quarantiner.Software{}, now), quarantiner.Blocked)
 	is.Equal(len(learned.Losses(true, now)), 2)
 }
 
@@ -264,7 +264,7 @@
 	is := is.New(t)
 	now := time.Now()
 	in := []quarantiner.Loss{
-		{Fingerprint: 1 << 63, Group: 2, Target: quarantiner.Target{Service: "s", Version: "v1"}, Server: "i-1", Began: now.Add(-4 * time.Second), At: now.Add(-3 * time.Second), GroupAnswered: now.Add(-5 * time.Second)},
+		{Fingerprint: 1 << 63, Group: 2, Software: quarantiner.Software{Service: "s", Version: "v1"}, Server: "i-1", Began: now.Add(-4 * time.Second), At: now.Add(-3 * time.Second), GroupAnswered: now.Add(-5 * time.Second)},
 		{Fingerprint: 1, Server: "i-2", At: now, Answered: now.Add(-time.Minute)},
 	}
 	raw := appendLosses(nil, in, now)
--- a/services/runner/runner.go
+++ b/services/runner/runner.go
@@ -160,7 +160,7 @@
 	}
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	for _, r := range []interface{ Register(prometheus.Registerer) }{&d.clients, d.dispatch, d.config, d.gossip, d.scatter, d.submit, d.callers} {
+	for _, r := range []interface{ Register(prometheus.Registerer) }{&d.clients, &d.replies, d.dispatch, d.config, d.gossip, d.scatter, d.submit, d.callers} {
 		r.Register(reg)
 	}
 	cfg := controller.Config{Listen: s.Operators.Listen, Tokens: s.Operators.Tokens, VM: s.VM.ID}
--- a/services/scatterer/canary.go
+++ b/services/scatterer/canary.go
@@ -38,24 +38,24 @@
 // crash, but not more than two servers, as the quarantine counts their losses.
 func (g *gather) proven(now time.Time) bool {
 	return slices.ContainsFunc(g.subqueries, func(sq *subquery) bool {
-		return g.scatterer.quarantine.Proven(g.fingerprint, g.target(sq), now)
+		return g.scatterer.quarantine.Proven(g.fingerprint, g.software(sq), now)
 	})
 }
 
 // suspect reports whether the query has probably crashed a server.
 func (g *gather) suspect(now time.Time) bool {
 	return slices.ContainsFunc(g.subqueries, func(sq *subquery) bool {
-		return g.scatterer.quarantine.Verdict(g.fingerprint, g.target(sq), now) == quarantiner.Suspect
+		return g.scatterer.quarantine.Verdict(g.fingerprint, g.software(sq), now) == quarantiner.Suspect
 	})
 }
 
-func (g *gather) target(sq *subquery) quarantiner.Target {
-	return dispatcher.TargetOf(sq.service, g.generation)
+func (g *gather) software(sq *subquery) quarantiner.Software {
+	return dispatcher.SoftwareOf(sq.service, g.generation)
 }
 
 // markSafe records the reply of a service and starts the subqueries that waited for the canary.
 func (g *gather) markSafe(sq *subquery) {
-	g.scatterer.quarantine.MarkAnswered(quarantiner.Answer{Fingerprint: g.fingerprint, Target: g.target(sq), At: time.Now()})
+	g.scatterer.quarantine.MarkAnswered(quarantiner.Answer{Fingerprint: g.fingerprint, Software: g.software(sq), At: time.Now()})
 	if g.knownSafe {
 		return
 	}
--- a/services/scatterer/scatterer_test.go
+++ b/services/scatterer/scatterer_test.go
@@ -298,11 +298,11 @@
 			switch now := time.Now(); {
 			case s.Describe || s.Service != "b":
 				return wholeReply(s, newGeneration(1, "p0"))
-			case q.Verdict(s.Fingerprint, s.Target(), now) == quarantiner.Blocked:
+			case q.Verdict(s.Fingerprint, s.Software(), now) == quarantiner.Blocked:
 				return failedEvent(executor.ErrNotRun, dispatcher.ErrQuarantined)
 			default:
 				crashes++
-				q.Report(quarantiner.Loss{Fingerprint: s.Fingerprint, Target: s.Target(), Server: s.Server, At: now})
+				q.Report(quarantiner.Loss{Fingerprint: s.Fingerprint, Software: s.Software(), Server: s.Server, At: now})
 				return failedEvent(executor.ErrUnknownOutcome, executor.ErrLost)
 			}
 		})
--- a/services/scatterer/types.go
+++ b/services/scatterer/types.go
@@ -38,13 +38,13 @@
 
 // Quarantine tracks which requests are safe for backend servers and which may crash them.
 type Quarantine interface {
-	// Proven reports whether a target has replied to a request recently enough that it is believed to be
+	// Proven reports whether the software has replied to a request recently enough that it is believed to be
 	// harmless there.
-	Proven(f quarantiner.Fingerprint, t quarantiner.Target, now time.Time) bool
+	Proven(f quarantiner.Fingerprint, t quarantiner.Software, now time.Time) bool
 	// MarkAnswered records a complete reply. It returns true if the reply clears a suspect.
 	MarkAnswered(a quarantiner.Answer) bool
-	// Verdict returns how a request may be run by a target.
-	Verdict(f quarantiner.Fingerprint, t quarantiner.Target, now time.Time) quarantiner.Verdict
+	// Verdict returns how a request may be run by the software.
+	Verdict(f quarantiner.Fingerprint, t quarantiner.Software, now time.Time) quarantiner.Verdict
 }
 
 // Query is one search request.
