--- a/modules/quarantiner/quarantiner_test.go
+++ b/modules/quarantiner/quarantiner_test.go
@@ -174,3 +174,12 @@
 	is.Equal(len(r.Losses(true, epoch.Add(time.Second))), MaxReported)
 	is.Equal(len(r.Losses(false, epoch.Add(time.Second))), maxRecent)
 }
+
+// BenchmarkMarkAnswered measures what each reply of a replica costs.
+func BenchmarkMarkAnswered(b *testing.B) {
+	var r Tracker
+	software := Software{Service: "stand-search-01", Version: "v1"}
+	for i := range b.N {
+		r.MarkAnswered(Answer{Fingerprint: Fingerprint(i + 1), Group: Fingerprint(i + 1<<40), Software: software, At: epoch})
+	}
+}
--- a/services/forwarder/policy.go
+++ b/services/forwarder/policy.go
@@ -13,8 +13,8 @@
 type choice struct {
 	*decider.Replica
 	to *registrar.Candidate
-	// verdict is that of the quarantine for the replica. If there is none, it is Blocked if the quarantine
-	// excludes all replicas that were not tried.
+	// verdict is that of the quarantine for the replica. Without a replica it is Blocked if the quarantine
+	// excludes all that were not tried, else Allowed.
 	verdict quarantiner.Verdict
 }
 
--- a/services/forwarder/types.go
+++ b/services/forwarder/types.go
@@ -75,14 +75,22 @@
 	Gathered bool
 	// RetryAfter is the delay after which a retry may succeed; 0 if unknown.
 	RetryAfter time.Duration
-	// Release ends the accounting for the memory of Body at the reply. It must be called once Body is accounted
-	// for as an answer, or dropped; nil if there is none.
+	// Release ends the accounting for the memory of Body as a reply. It must be called once, when Body is
+	// accounted for as an answer or dropped; nil if there is none.
 	Release func()
 	// Record writes the log line and the metrics of the request. It is called after the response
 	// was passed on for sending, so that it adds nothing to the latency seen by the caller.
 	Record func()
 }
 
+// ReleaseBody calls Release if it is set.
+func (r *Response) ReleaseBody() {
+	if r.Release != nil {
+		r.Release()
+		r.Release = nil
+	}
+}
+
 // ReplicaRequest is a request as it is sent to one replica.
 type ReplicaRequest struct {
 	*Request
