--- a/modules/quarantiner/proof.go
+++ b/modules/quarantiner/proof.go
@@ -15,7 +15,7 @@
 	proofTime = 10 * time.Minute
 )
 
-// proofTable holds when pieces of software last replied to requests. Each entry has one place, where it replaces
+// proofTable holds the last reply of each software to each request. Each entry has one place, where it replaces
 // another one, so that the table takes the same memory and time whatever the number of requests. A
 // request whose entry was replaced counts as never replied to. The zero value is ready for use.
 type proofTable struct {
--- a/modules/quarantiner/quarantiner.go
+++ b/modules/quarantiner/quarantiner.go
@@ -128,7 +128,7 @@
 	maxRecords = 4096
 )
 
-// Tracker records losses, and which pieces of software have replied to which requests. The zero value is ready
+// Tracker records losses, and which software has replied to which requests. The zero value is ready
 // for use. It is safe for concurrent use.
 type Tracker struct {
 	// Retention is the time for which a loss counts; 0 means 10 minutes.
