Losses are reported on connections of their own

A VM has two connections to another one, and reads that wait for changes use both. Reports of the same moment also shut each other out.

Change: reports have up to two connections of their own to each VM, opened when there is one to send, and wait for a free one within their time limit.

Result: TestReportsDoNotWaitForReads failed before and passes.

--- a/modules/fetcher/fetcher.go
+++ b/modules/fetcher/fetcher.go
@@ -54,6 +54,9 @@
 	Memory *rationer.Budget
 	// ReceiveBuffer limits the bytes received and not yet read on a connection; 0 stands for the system's limit.
 	ReceiveBuffer int
+	// ConnWait is the time for which a request waits for a connection while all of them are in use, but not
+	// beyond its deadline; 0 for none.
+	ConnWait time.Duration
 }
 
 // Client calls a single HTTP server. It never retries a request.
@@ -76,6 +79,7 @@
 		Addr: addr.String(),
 		// The client reads the bodies itself to account for them.
 		StreamResponseBody: limits.Memory != nil,
+		MaxConnWaitTimeout: limits.ConnWait,
 		MaxConns:           maxConns,
 		// fasthttp retries a POST after an EOF unless both of these settings prevent it.
 		MaxIdemponentCallAttempts: 1,
@@ -88,6 +92,11 @@
 	return c
 }
 
+// Connections returns the number of open connections.
+func (c *Client) Connections() int {
+	return c.hc.ConnsCount()
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.hc.CloseIdleConnections()
--- a/services/relayer/relayer.go
+++ b/services/relayer/relayer.go
@@ -286,11 +286,13 @@
 	Losses LossTracker
 	sealer *sealer.Sealer
 	http   *fetcher.Client
+	// reports has connections of its own, since reads that wait for changes may use all of http.
+	reports *fetcher.Client
 	// knowsLosses is true once a reply has had all losses that the other VM knew.
 	knowsLosses atomic.Bool
 }
 
-// maxConns is the maximum number of connections to another VM.
+// maxConns is the maximum number of connections to another VM for reads, and as many again for reports.
 const maxConns = 2
 
 // NewClient returns a Client of the VM at addr; keys are as for Listen.
@@ -299,7 +301,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Client{sealer: requestSealer, http: fetcher.New(addr, maxConns)}, nil
+	reports := fetcher.NewLimited(addr, maxConns, fetcher.Limits{ConnWait: reportTimeout})
+	return &Client{sealer: requestSealer, http: fetcher.New(addr, maxConns), reports: reports}, nil
 }
 
 // Snapshot implements replicator.Source.
@@ -365,7 +368,7 @@
 }
 
 func (c *Client) report(path string, plain []byte) error {
-	code, _, err := c.http.Raw(fasthttp.MethodPost, path, "application/octet-stream", c.sealer.Seal(plain), time.Now().Add(reportTimeout))
+	code, _, err := c.reports.Raw(fasthttp.MethodPost, path, "application/octet-stream", c.sealer.Seal(plain), time.Now().Add(reportTimeout))
 	if err != nil {
 		return oops.Wrap(errors.Join(ErrUnreachable, err))
 	}
--- a/services/relayer/relayer_test.go
+++ b/services/relayer/relayer_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -146,6 +147,43 @@
 	}
 }
 
+// TestReportsDoNotWaitForReads guards against losses that another VM doesn't learn, since all connections to it are in use
+// by reads that wait for changes, or by other reports of the same moment.
+func TestReportsDoNotWaitForReads(t *testing.T) {
+	is := is.New(t)
+	var c replicator.Cache
+	c.Load(batch(5, replicator.Item{Key: "a", Revision: 3}), time.Now())
+	s, client := startServer(t, &c)
+	const reports = 20
+	received := make(chan []quarantiner.Loss, reports)
+	s.OnLosses = func(list []quarantiner.Loss) { received <- list }
+	start, err := c.Snapshot(context.Background())
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	reading := make(chan struct{}, maxConns)
+	for range maxConns {
+		go func() {
+			reading <- struct{}{}
+			_, _ = client.Changes(ctx, start.Cursor, 5*time.Second)
+		}()
+	}
+	for range maxConns {
+		<-reading
+	}
+	for client.http.Connections() < maxConns {
+		time.Sleep(time.Millisecond)
+	}
+	var wg sync.WaitGroup
+	for i := range reports {
+		wg.Go(func() {
+			is.NoErr(client.ReportLosses([]quarantiner.Loss{{Fingerprint: quarantiner.Fingerprint(i), Server: "i-1", At: time.Now()}}))
+		})
+	}
+	wg.Wait()
+	is.Equal(len(received), reports)
+}
+
 // TestAnswerIsTold checks that a reply which clears a request of losses reaches other VMs, as of its arrival.
 func TestAnswerIsTold(t *testing.T) {
 	is := is.New(t)
