Quarantine: a request that one VM blames wrongly is cleared by the replies that others get

Cause: a VM whose first report was of the harmless one barred that, took its losses as explained, and cleared the one to blame. The others did it the other way round, and had no reason to report the replies that they got.

Change: a VM that has cleared a request of losses for which another one is to blame reports the next reply to it. A reply also takes back what the request was blamed for, so that losses of others count again.

Result: TestExcusedRequestIsClearedElsewhere, which needs both parts, passes.

--- a/modules/quarantiner/evidence_test.go
+++ b/modules/quarantiner/evidence_test.go
@@ -174,3 +174,32 @@
 	is.Equal(len(told.LossesOf(1, epoch.Add(2*time.Second))), 2)
 	is.Equal(len(told.LossesOf(1, epoch.Add(time.Hour))), 0)
 }
+
+// TestExcusedRequestIsClearedElsewhere guards against a harmless request that one VM goes on to block, since it ran on
+// the same servers as the one to blame and was reported first there, while the others have cleared it.
+func TestExcusedRequestIsClearedElsewhere(t *testing.T) {
+	is := is.New(t)
+	const harmless, crashing = 1, 2
+	var first, second Tracker
+	report := func(r *Tracker, f Fingerprint) {
+		for i, server := range []string{"a", "b"} {
+			r.Report(Loss{Fingerprint: f, Software: v1, Server: server, At: epoch.Add(time.Duration(i) * time.Millisecond)})
+		}
+	}
+	report(&first, harmless)
+	report(&first, crashing)
+	report(&second, crashing)
+	report(&second, harmless)
+	now := epoch.Add(time.Second)
+	is.Equal(first.Verdict(harmless, v1, now), Blocked)
+	is.True(second.Verdict(harmless, v1, now) != Blocked)
+	reply := Answer{Fingerprint: harmless, Software: v1, At: now}
+	is.True(second.MarkAnswered(reply)) // it is reported
+	is.True(!second.MarkAnswered(reply))
+	first.MarkAnswered(reply)
+	is.Equal(first.Verdict(harmless, v1, now), Allowed)
+	// The first one has blamed the wrong request. It learns of the other one's losses anew.
+	first.Merge(second.Losses(false, now), now)
+	is.Equal(first.Verdict(harmless, v1, now), Allowed)
+	is.Equal(first.Verdict(crashing, v1, now), Blocked)
+}
--- a/modules/quarantiner/quarantiner.go
+++ b/modules/quarantiner/quarantiner.go
@@ -145,20 +145,25 @@
 	// blamed holds the servers that a blocked request has lost, with the times of the losses. It never
 	// holds more than maxRecords entries.
 	blamed map[string]time.Time
+	// excused holds the requests that were cleared of losses for which another one is to blame, until a reply to
+	// them. Another VM may not have cleared them. It never holds more than maxRecords entries.
+	excused map[Fingerprint]struct{}
 }
 
 func (r *Tracker) retention() time.Duration {
 	return cmp.Or(r.Retention, defaultRetention)
 }
 
-// MarkAnswered records a complete reply to a request. It returns true if that clears a request that
-// was a suspect, which the other VMs should learn.
+// MarkAnswered records a complete reply to a request. It returns true if the other VMs should learn of
+// it: if it clears a request that was a suspect here, or may still be one there.
 func (r *Tracker) MarkAnswered(a Answer) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	suspect := r.verdict(a.Fingerprint, a.Software, a.At) != Allowed
+	_, excused := r.excused[a.Fingerprint]
+	delete(r.excused, a.Fingerprint)
 	r.prove(a.Group, a.Software, a.At)
-	return r.prove(a.Fingerprint, a.Software, a.At) && suspect
+	return r.prove(a.Fingerprint, a.Software, a.At) && suspect || excused
 }
 
 // prove records that the software replied to f, and drops the earlier losses there. It returns true if
@@ -168,7 +173,13 @@
 		return false
 	}
 	r.proofs.set(f, t, at)
-	return r.drop(f, func(l knownLoss) bool { return l.Software == t && !l.At.After(at) })
+	return r.drop(f, func(l knownLoss) bool {
+		cleared := l.Software == t && !l.At.After(at)
+		if cleared {
+			delete(r.blamed, l.Server) // if it was f that was blamed, it was wrongly
+		}
+		return cleared
+	})
 }
 
 // drop removes the losses of f for which remove returns true. It returns true if there were any.
@@ -304,6 +315,7 @@
 	blocked := r.verdict(l.Fingerprint, l.Software, l.At) == Blocked
 	if r.isBlamed(l) && !blocked {
 		r.drop(l.Fingerprint, func(k knownLoss) bool { return k.Server == l.Server && k.At.Equal(l.At) })
+		r.excuse(l.Fingerprint)
 		return false
 	}
 	if learned.After(r.lastLearned) {
@@ -350,10 +362,23 @@
 		i := slices.IndexFunc(rec.losses, func(k knownLoss) bool { return r.isBlamed(k.Loss) })
 		if i >= 0 && r.verdict(f, rec.losses[i].Software, l.At) != Blocked {
 			r.drop(f, func(k knownLoss) bool { return r.isBlamed(k.Loss) })
+			if !rec.isGroup {
+				r.excuse(f)
+			}
 		}
 	}
 }
 
+// excuse records that f was cleared of losses for which another request is to blame.
+func (r *Tracker) excuse(f Fingerprint) {
+	if r.excused == nil {
+		r.excused = make(map[Fingerprint]struct{})
+	}
+	if len(r.excused) < maxRecords {
+		r.excused[f] = struct{}{}
+	}
+}
+
 // isBlamed reports whether l is the loss of a server that a blocked request is to blame for.
 func (r *Tracker) isBlamed(l Loss) bool {
 	at, ok := r.blamed[l.Server]
