Crowd tests: wait for the configuration that the test needs

Traced in its log: the VM had only the first configuration, with its small limit, and the check that it serves the largest body had passed, as that body arrived before any configuration. The wait now asks the VM's metrics for the version as well; what the tests check is unchanged.

--- a/tests/crowd/callers_test.go
+++ b/tests/crowd/callers_test.go
@@ -37,12 +37,19 @@
 	is.NoErr(vm.Start(binDir, t.TempDir(), t.Output()))
 	t.Cleanup(vm.Kill)
 	// The VM may start with the configuration of before.
-	for end := time.Now().Add(20 * time.Second); !servesLargest(vm) || f.CheckComplete(vm) != nil; time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(20 * time.Second); !hasSecondConfig(vm) || !servesLargest(vm) || f.CheckComplete(vm) != nil; time.Sleep(20 * time.Millisecond) {
 		is.True(time.Now().Before(end)) // the VM serves
 	}
 	return f, vm
 }
 
+// hasSecondConfig reports whether the VM has the configuration with the limits of the tests. A body that arrives before
+// any configuration is served whatever its size.
+func hasSecondConfig(vm *fleet.SiteVM) bool {
+	metrics, err := vm.Metrics()
+	return err == nil && strings.Contains(metrics, "ebonylock_beliefs_config_version 2\n")
+}
+
 // servesLargest reports whether the VM serves a request with the largest body.
 func servesLargest(vm *fleet.SiteVM) bool {
 	w, err := sendBody(vm, "/write/x", strings.NewReader(strings.Repeat("x", maxBody)))
