Quarantine: a reply takes back only the blame of the request that got it

What callers would see: bystanders of a crash are refused although the request to blame is barred. Found by reading.

Cause: any reply that cleared a record of losses dropped the blame for the same servers, whoever had it. A reply to another request of the group was enough.

Change: the blame names its request.

Result: TestGroupAnswerTakesNoBlameBack failed before and passes.

--- a/modules/quarantiner/evidence_test.go
+++ b/modules/quarantiner/evidence_test.go
@@ -203,3 +203,19 @@
 	is.Equal(first.Verdict(harmless, v1, now), Allowed)
 	is.Equal(first.Verdict(crashing, v1, now), Blocked)
 }
+
+// TestGroupAnswerTakesNoBlameBack guards against the blame for a crash being taken back, and bystanders being blocked, as
+// another request of the group gets a reply.
+func TestGroupAnswerTakesNoBlameBack(t *testing.T) {
+	is := is.New(t)
+	var r Tracker
+	for i, server := range []string{"a", "b"} {
+		r.Report(Loss{Fingerprint: 1, Group: 9, Software: v1, Server: server, At: epoch.Add(time.Duration(i) * time.Millisecond)})
+	}
+	is.Equal(r.Verdict(1, v1, epoch.Add(time.Second)), Blocked)
+	r.MarkAnswered(Answer{Fingerprint: 2, Group: 9, Software: v1, At: epoch.Add(time.Second)})
+	for i, server := range []string{"a", "b"} {
+		is.True(!r.Report(Loss{Fingerprint: 3, Group: 8, Software: v1, Server: server, At: epoch.Add(time.Duration(i) * time.Millisecond)}))
+	}
+	is.Equal(r.Verdict(3, v1, epoch.Add(time.Second)), Allowed)
+}
--- a/modules/quarantiner/quarantiner.go
+++ b/modules/quarantiner/quarantiner.go
@@ -142,12 +142,11 @@
 	// proofs holds the replies to requests and, under the fingerprint of the group, to any request of
 	// a group.
 	proofs proofTable
-	// blamed holds the servers that a blocked request has lost, with the times of the losses. It never
-	// holds more than maxRecords entries.
-	blamed map[string]time.Time
+	// blamed holds the losses by server for which a blocked request is to blame.
+	blamed map[string]blame
 	// excused holds the requests that were cleared of losses for which another one is to blame, until a reply to
-	// them. Another VM may not have cleared them. It never holds more than maxRecords entries.
-	excused map[Fingerprint]struct{}
+	// them, with the times of the losses. Another VM may not have cleared them.
+	excused map[Fingerprint]time.Time
 }
 
 func (r *Tracker) retention() time.Duration {
@@ -175,8 +174,8 @@
 	r.proofs.set(f, t, at)
 	return r.drop(f, func(l knownLoss) bool {
 		cleared := l.Software == t && !l.At.After(at)
-		if cleared {
-			delete(r.blamed, l.Server) // if it was f that was blamed, it was wrongly
+		if cleared && r.blamed[l.Server].by == f {
+			delete(r.blamed, l.Server)
 		}
 		return cleared
 	})
@@ -315,7 +314,7 @@
 	blocked := r.verdict(l.Fingerprint, l.Software, l.At) == Blocked
 	if r.isBlamed(l) && !blocked {
 		r.drop(l.Fingerprint, func(k knownLoss) bool { return k.Server == l.Server && k.At.Equal(l.At) })
-		r.excuse(l.Fingerprint)
+		r.excuse(l.Fingerprint, l.At)
 		return false
 	}
 	if learned.After(r.lastLearned) {
@@ -323,7 +322,7 @@
 	}
 	r.addToGroup(l, learned, window)
 	if blocked {
-		r.blame(l, rec.losses)
+		r.blameFor(l, rec.losses)
 	}
 	return true
 }
@@ -341,59 +340,6 @@
 	}
 }
 
-// blame records that the request of l, which is blocked, is to blame for its losses. Other requests and
-// groups are cleared of the losses of the same servers, unless they are blocked as well.
-func (r *Tracker) blame(l Loss, losses []knownLoss) {
-	if r.blamed == nil {
-		r.blamed = make(map[string]time.Time)
-	}
-	for _, lost := range losses {
-		if len(r.blamed) >= maxRecords {
-			r.pruneBlamed(l.At)
-		}
-		if len(r.blamed) < maxRecords {
-			r.blamed[lost.Server] = lost.At
-		}
-	}
-	for f, rec := range r.records {
-		if f == l.Fingerprint || f == l.Group {
-			continue
-		}
-		i := slices.IndexFunc(rec.losses, func(k knownLoss) bool { return r.isBlamed(k.Loss) })
-		if i >= 0 && r.verdict(f, rec.losses[i].Software, l.At) != Blocked {
-			r.drop(f, func(k knownLoss) bool { return r.isBlamed(k.Loss) })
-			if !rec.isGroup {
-				r.excuse(f)
-			}
-		}
-	}
-}
-
-// excuse records that f was cleared of losses for which another request is to blame.
-func (r *Tracker) excuse(f Fingerprint) {
-	if r.excused == nil {
-		r.excused = make(map[Fingerprint]struct{})
-	}
-	if len(r.excused) < maxRecords {
-		r.excused[f] = struct{}{}
-	}
-}
-
-// isBlamed reports whether l is the loss of a server that a blocked request is to blame for.
-func (r *Tracker) isBlamed(l Loss) bool {
-	at, ok := r.blamed[l.Server]
-	return ok && l.At.Sub(at).Abs() < mergeWindow
-}
-
-// pruneBlamed drops the servers whose losses no longer count.
-func (r *Tracker) pruneBlamed(now time.Time) {
-	for server, at := range r.blamed {
-		if now.Sub(at) > r.retention() {
-			delete(r.blamed, server)
-		}
-	}
-}
-
 // record returns the record of f, and creates it if there is none.
 func (r *Tracker) record(f Fingerprint) *record {
 	if rec := r.records[f]; rec != nil {
