--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the third review start, into bin/.
 set -eu
 cd "$(dirname "$0")/.."
-go build -trimpath -o bin/ ./review/casestand3
+GOFLAGS= go build -trimpath -tags review -o bin/ ./review/casestand3
--- a/review/casestand3/main.go
+++ b/review/casestand3/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command casestand3 runs the cases of the third review: it starts stand-ins of the platform and of its clients, and
 // the system's programs as separate processes.
 package main
@@ -28,8 +30,10 @@
 // cases holds the cases by name. trouble is false for a run without the disruption.
 var cases = map[string]func(ctx context.Context, rec *record, trouble bool) error{
 	"crashing-request":    crashingRequest,
-	"cold-start":          coldStart,
 	"restored-config":     restoredConfig,
+	"spliced-status":      splicedStatus,
+	"spliced-refusal":     splicedRefusal,
+	"stray-leaving":       strayLeaving,
 	"restored-evacuation": restoredEvacuation,
 }
 
--- a/review/casestand3/poison.go
+++ b/review/casestand3/poison.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -170,7 +172,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	d.load(ctx, 30*time.Millisecond)
+	d.load(ctx, 30*time.Millisecond, restorePath)
 	pause(ctx, 5*time.Second)
 	for round := range herdKills + 1 {
 		began := time.Now()
--- a/review/casestand3/replica.go
+++ b/review/casestand3/replica.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -62,9 +64,6 @@
 
 	mu      sync.Mutex
 	written string
-	// arrivals holds the times of the requests that a replica counts.
-	arrivals []time.Time
-	crashed  atomic.Bool
 }
 
 // start binds the address of a replica, which is a free port if addr is empty, and registers it.
--- a/review/casestand3/restored.go
+++ b/review/casestand3/restored.go
@@ -1,8 +1,11 @@
+//go:build review
+
 package main
 
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -32,11 +35,10 @@
 	fleet   *fleet
 	callers *callers
 	runs    runs
+	answers statuses
 	servers []*replica
 	// work is the time that a replica needs for a request.
 	work time.Duration
-	// warmupRate is the number of requests that a cold replica tolerates in a second; 0 for no limit.
-	warmupRate int
 	// procs holds the replicas that run as processes.
 	procMu sync.Mutex
 	procs  []*process
@@ -76,18 +78,28 @@
 
 // configure writes a configuration whose only route goes to a service, and returns the time of the acknowledgement.
 func (d *drill) configure(version int, service string) time.Time {
-	d.store.put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r-book","hostname":%q,"path_prefix":%q,"type":"non_idempotent",`+
-		`"timeout_ms":1500,"target_latency_ms":250,"priority":2,"service":%q,"max_attempts":2}],`+
-		`"services":[{"name":"reservations","health_path":"/health","max_connections":100,"protocol":"h1","tls":false,"warmup_s":3,"warmup_per_s":%d},`+
+	return d.configureRoutes(version, [][2]string{{restorePath, service}})
+}
+
+// configureRoutes is like configure for several routes, each a path prefix and a service.
+func (d *drill) configureRoutes(version int, list [][2]string) time.Time {
+	routes := make([]string, len(list))
+	for i, r := range list {
+		routes[i] = fmt.Sprintf(`{"name":"r-%d","hostname":%q,"path_prefix":%q,"type":"non_idempotent","timeout_ms":1500,`+
+			`"target_latency_ms":250,"priority":2,"service":%q,"max_attempts":2}`, i+1, restoreHost, r[0], r[1])
+	}
+	d.store.put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[%s],`+
+		`"services":[{"name":"reservations","health_path":"/health","max_connections":100,"protocol":"h1","tls":false,"warmup_s":3,"warmup_per_s":0},`+
 		`{"name":"returns-desk","health_path":"/health","max_connections":100,"protocol":"h1","tls":false,"warmup_s":3,"warmup_per_s":0}],`+
 		`"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
-		version, restoreHost, restorePath, service, d.warmupRate))
-	d.rec.notef("configuration %d acknowledged: %s goes to %s", version, restorePath, service)
+		version, strings.Join(routes, ",")))
+	d.rec.notef("configuration %d acknowledged: %v", version, list)
 	return time.Now()
 }
 
-// load sends a request to each machine at every interval until ctx ends, as many users do who don't know of each other.
-func (d *drill) load(ctx context.Context, interval time.Duration) {
+// load sends a request for path to each machine at every interval until ctx ends, as many users do who don't know of each
+// other.
+func (d *drill) load(ctx context.Context, interval time.Duration, path string) {
 	for i, v := range d.fleet.vms {
 		d.wg.Go(func() {
 			pause(ctx, interval*time.Duration(i)/time.Duration(len(d.fleet.vms)))
@@ -99,7 +111,7 @@
 					return
 				case <-ticker.C:
 					d.wg.Go(func() {
-						d.callers.send(context.Background(), v, "POST", restoreHost, restorePath+"1", 1500*time.Millisecond, []byte("a hall"))
+						d.callers.send(context.Background(), v, "POST", restoreHost, path+"1", 1500*time.Millisecond, []byte("a hall"))
 					})
 				}
 			}
@@ -181,7 +193,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	d.load(ctx, 100*time.Millisecond)
+	d.load(ctx, 100*time.Millisecond, restorePath)
 	if err := d.disrupt(ctx, trouble); err != nil {
 		return err
 	}
@@ -259,7 +271,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	d.load(ctx, 100*time.Millisecond)
+	d.load(ctx, 100*time.Millisecond, restorePath)
 	if err := d.disrupt(ctx, trouble); err != nil {
 		return err
 	}
--- a/review/casestand3/store.go
+++ b/review/casestand3/store.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
