--- a/modules/fetcher/fetcher.go
+++ b/modules/fetcher/fetcher.go
@@ -106,6 +106,19 @@
 // into out (nil to discard it). It returns the HTTP status code, which is 0 if there is no
 // response. The body of a 204 response is not decoded.
 func (c *Client) Do(method, path string, in, out any, deadline time.Time) (int, error) {
+	return c.DoNamed(method, path, in, out, deadline, nil)
+}
+
+// Field is a header field of a response.
+type Field struct {
+	Name  string
+	Value string
+	// Found is true if the response has the field.
+	Found bool
+}
+
+// DoNamed is like Do and also reads the header field with the Name of field; nil for none.
+func (c *Client) DoNamed(method, path string, in, out any, deadline time.Time, field *Field) (int, error) {
 	var body []byte
 	if in != nil {
 		var err error
@@ -113,14 +126,18 @@
 			return 0, oops.Wrapf(err, "encode request")
 		}
 	}
-	return c.DoParts(method, path, [][]byte{body}, out, deadline)
+	return c.doParts(method, path, [][]byte{body}, out, deadline, field)
 }
 
 // DoParts is like Do with an encoded body that is the concatenation of parts.
 func (c *Client) DoParts(method, path string, parts [][]byte, out any, deadline time.Time) (int, error) {
+	return c.doParts(method, path, parts, out, deadline, nil)
+}
+
+func (c *Client) doParts(method, path string, parts [][]byte, out any, deadline time.Time, field *Field) (int, error) {
 	memory := rationer.Portion{Budget: c.limits.Memory}
 	defer memory.Release()
-	code, reply, err := c.send(method, path, "application/json", parts, deadline, &memory)
+	code, reply, err := c.send(method, path, "application/json", parts, deadline, &memory, field)
 	if err != nil || out == nil || code == fasthttp.StatusNoContent {
 		return code, err
 	}
@@ -139,12 +156,12 @@
 func (c *Client) Raw(method, path, contentType string, body []byte, deadline time.Time) (int, []byte, error) {
 	memory := rationer.Portion{Budget: c.limits.Memory}
 	defer memory.Release()
-	return c.send(method, path, contentType, [][]byte{body}, deadline, &memory)
+	return c.send(method, path, contentType, [][]byte{body}, deadline, &memory, nil)
 }
 
 // send sends a request whose body is the concatenation of parts. There is no body if the only part is nil. The
-// response counts in memory.
-func (c *Client) send(method, path, contentType string, parts [][]byte, deadline time.Time, memory *rationer.Portion) (int, []byte, error) {
+// response counts in memory. field is as for DoNamed.
+func (c *Client) send(method, path, contentType string, parts [][]byte, deadline time.Time, memory *rationer.Portion, field *Field) (int, []byte, error) {
 	r := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(r)
 	w := fasthttp.AcquireResponse()
@@ -179,6 +196,10 @@
 		}
 		return 0, nil, oops.Wrapf(err, "%s %s", method, path)
 	}
+	if field != nil {
+		value := w.Header.Peek(field.Name)
+		field.Value, field.Found = string(value), value != nil
+	}
 	if w.BodyStream() == nil {
 		return w.StatusCode(), append([]byte(nil), w.Body()...), nil
 	}
--- a/services/enroller/enroller.go
+++ b/services/enroller/enroller.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"math"
 	"net/netip"
 	"slices"
@@ -18,11 +17,10 @@
 
 	"github.com/ebonylock/ebonylock/modules/encoder"
 	"github.com/ebonylock/ebonylock/modules/prober"
+	"github.com/ebonylock/ebonylock/services/recorder"
+	"github.com/ebonylock/ebonylock/services/replicator"
 )
 
-// ErrConflict is returned if another VM has written the record since the expected revision.
-var ErrConflict = errors.New("record was written by another VM")
-
 const (
 	// settleTime is the time for which the fleet must be unchanged before its record is written.
 	settleTime = 3 * time.Second
@@ -110,27 +108,15 @@
 	return near && slices.EqualFunc(r.Fastest, o.Fastest, func(a, b prober.Member) bool { return a.ID == b.ID && a.Link == b.Link })
 }
 
-// Writer writes keys of the store.
-type Writer interface {
-	// Put writes a key if its current revision is expect, where 0 stands for a key that does not
-	// exist, and returns the new revision. If the revision is another one, errors match
-	// ErrConflict.
-	Put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error)
-}
-
 // Enroller keeps the record up to date. It is ready for use once its exported fields are set.
 type Enroller struct {
-	Store Writer
-	Key   string
-	Log   *logrus.Logger
+	// Recorder writes the record.
+	Recorder *recorder.Recorder
+	Log      *logrus.Logger
 
 	mu sync.Mutex
 	// stored is the last record that was read from the store.
 	stored Record
-	// revision is the revision of the key in the store; 0 if it does not exist.
-	revision uint64
-	// observed is the last revision of the store at which the key is known.
-	observed uint64
 	// spoiled is true if the key has no record that can be decoded.
 	spoiled bool
 	// pending is the record to be written. It has been the same since pendingSince.
@@ -139,35 +125,28 @@
 	lastWrite    time.Time
 }
 
-// ObserveRecord processes the record that the store holds at a revision. Older revisions than the
-// last known one are ignored. If a record can't be decoded, the previous one stays in use until the
-// next write.
-func (e *Enroller) ObserveRecord(value []byte, revision uint64) {
-	r, err := Decode(value)
+// Observe processes the state of the record in the store. A state that is known, or older than what is known, is
+// ignored. If the record was removed or can't be decoded, the previous one stays in use until the next write.
+func (e *Enroller) Observe(it replicator.Item) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if revision < e.observed {
+	if !e.Recorder.Observe(it) {
 		return
 	}
-	e.revision, e.observed, e.spoiled = revision, revision, err != nil
-	if err != nil {
-		e.Log.WithField("event", "fleet-record").WithError(err).Warn("fleet record could not be decoded; the previous record stays in use")
+	log := e.Log.WithFields(logrus.Fields{"event": "fleet-record", "revision": it.Revision, "era": it.Era})
+	if it.Removed {
+		if e.spoiled = e.stored.VMs > 0; e.spoiled {
+			log.Warn("fleet record was removed from the store; the previous record stays in use")
+		}
 		return
 	}
-	e.stored = r
-	e.Log.WithFields(logrus.Fields{"event": "fleet-record", "vms": r.VMs, "revision": revision}).Info("fleet record read from the store")
-}
-
-// ObserveRemoval processes the removal of the record from the store at a revision. The record stays in
-// use until the next write.
-func (e *Enroller) ObserveRemoval(revision uint64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if revision < e.observed {
+	r, err := Decode(it.Value)
+	if e.spoiled = err != nil; e.spoiled {
+		log.WithError(err).Warn("fleet record could not be decoded; the previous record stays in use")
 		return
 	}
-	e.revision, e.observed, e.spoiled = 0, revision, true
-	e.Log.WithFields(logrus.Fields{"event": "fleet-record", "revision": revision}).Warn("fleet record was removed from the store; the previous record stays in use")
+	e.stored = r
+	log.WithField("vms", r.VMs).Info("fleet record read from the store")
 }
 
 // Record returns the last known record of the fleet.
@@ -182,38 +161,35 @@
 // don't overwrite each other, since a write names the expected revision.
 func (e *Enroller) WriteIfStale(ctx context.Context, members []prober.Member, now time.Time) {
 	r := summarize(members)
-	expect, due := e.needsWrite(r, now)
-	if !due {
+	if !e.needsWrite(r, now) {
 		return
 	}
-	revision, err := e.Store.Put(ctx, e.Key, r.append(nil), expect)
-	fields := logrus.Fields{"event": "fleet-record", "vms": r.VMs, "expected-revision": expect}
+	version, err := e.Recorder.Write(ctx, r.append(nil))
+	log := e.Log.WithFields(logrus.Fields{"event": "fleet-record", "vms": r.VMs})
 	if err != nil {
-		e.Log.WithFields(fields).WithError(err).Info("failed to write fleet record")
+		log.WithError(err).Info("failed to write fleet record")
 		return
 	}
 	e.mu.Lock()
-	if revision > e.observed {
-		e.stored, e.revision, e.observed, e.spoiled = r, revision, revision, false
-	}
+	e.stored, e.spoiled = r, false
 	e.mu.Unlock()
-	e.Log.WithFields(fields).WithField("revision", revision).Info("fleet record written")
+	log.WithFields(logrus.Fields{"revision": version.Revision, "era": version.Era}).Info("fleet record written")
 }
 
-// needsWrite reports whether r must be written now, and the revision to expect in the store.
-func (e *Enroller) needsWrite(r Record, now time.Time) (expect uint64, due bool) {
+// needsWrite reports whether r must be written now.
+func (e *Enroller) needsWrite(r Record, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if r.VMs == 0 || (r.similar(e.stored) && !e.spoiled) {
 		e.pending = Record{}
-		return 0, false
+		return false
 	}
 	if !r.similar(e.pending) {
 		e.pending, e.pendingSince = r, now
 	}
 	if now.Sub(e.pendingSince) < settleTime || now.Sub(e.lastWrite) < writeInterval {
-		return 0, false
+		return false
 	}
 	e.lastWrite = now
-	return e.revision, true
+	return true
 }
--- a/services/enroller/enroller_test.go
+++ b/services/enroller/enroller_test.go
@@ -12,6 +12,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/ebonylock/ebonylock/modules/prober"
+	"github.com/ebonylock/ebonylock/services/recorder"
+	"github.com/ebonylock/ebonylock/services/replicator"
 )
 
 // fakeStore is a Writer that holds one key.
@@ -19,17 +21,24 @@
 	value []byte
 	// revision is 0 while the key does not exist. last is the highest one of a write.
 	revision, last uint64
-	writes         int
+	// era is that of the writes.
+	era    uint64
+	writes int
 }
 
-func (s *fakeStore) Put(_ context.Context, _ string, value []byte, expect uint64) (uint64, error) {
+func (s *fakeStore) Put(_ context.Context, _ string, value []byte, expect uint64) (replicator.Version, error) {
 	if expect != s.revision {
-		return 0, ErrConflict
+		return replicator.Version{}, recorder.ErrConflict
 	}
 	s.last = max(s.last, s.revision) + 3
 	s.value, s.revision = value, s.last
 	s.writes++
-	return s.revision, nil
+	return replicator.Version{Era: s.era, Revision: s.revision}, nil
+}
+
+// record returns the state of a record at a revision.
+func record(value []byte, revision uint64) replicator.Item {
+	return replicator.Item{Value: value, Version: replicator.Version{Revision: revision}}
 }
 
 func newMembers(n int) []prober.Member {
@@ -48,7 +57,7 @@
 func newEnroller(s *fakeStore) *Enroller {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return &Enroller{Store: s, Key: "k", Log: log}
+	return &Enroller{Recorder: &recorder.Recorder{Store: s, Key: "k"}, Log: log}
 }
 
 // TestRecordOutlivesTheFleet guards against VMs that don't know the size of the fleet after all of
@@ -63,7 +72,7 @@
 	}
 	is.Equal(s.writes, 1)
 	after := newEnroller(s)
-	after.ObserveRecord(s.value, s.revision)
+	after.Observe(record(s.value, s.revision))
 	r := after.Record()
 	is.Equal(r.VMs, 60)
 	is.Equal(len(r.Fastest), 3*maxPerDataCentre)
@@ -105,11 +114,11 @@
 		now = now.Add(time.Second)
 	}
 	is.Equal(s.writes, 1)
-	b.ObserveRecord(s.value, s.revision)
+	b.Observe(record(s.value, s.revision))
 	is.Equal(b.Record().VMs, 60)
-	b.ObserveRecord([]byte{0xff}, s.revision+1) // malformed; the last one stays
+	b.Observe(record([]byte{0xff}, s.revision+1)) // malformed; the last one stays
 	is.Equal(b.Record().VMs, 60)
-	b.ObserveRecord(nil, 1) // older revision
+	b.Observe(record(nil, 1)) // older revision
 	is.Equal(b.Record().VMs, 60)
 }
 
@@ -142,10 +151,12 @@
 			is.Equal(s.writes, 1)
 			s.value, s.revision = value, s.revision+1
 			if value == nil {
-				e.ObserveRemoval(s.revision)
+				removed := record(nil, s.revision)
+				removed.Removed = true
+				e.Observe(removed)
 				s.revision = 0
 			} else {
-				e.ObserveRecord(value, s.revision)
+				e.Observe(record(value, s.revision))
 			}
 			is.Equal(e.Record().VMs, 60)
 			is.Equal(len(e.Record().Fastest), 3*maxPerDataCentre)
@@ -156,6 +167,29 @@
 	}
 }
 
+// TestRecordIsWrittenInNewEra guards against a fleet record that is never written again: the store came back from a
+// copy that lacks it, at a lower revision, and each write named the revision of the era before.
+func TestRecordIsWrittenInNewEra(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{era: 1, last: 60}
+	e, now := newEnroller(s), time.Now()
+	write := func() {
+		for range 15 {
+			e.WriteIfStale(context.Background(), newMembers(60), now)
+			now = now.Add(time.Second)
+		}
+	}
+	write()
+	is.Equal(s.writes, 1)
+	s.era, s.last, s.revision = 2, 40, 0
+	e.Observe(replicator.Item{Removed: true, Version: replicator.Version{Era: 2, Revision: 40}})
+	is.Equal(e.Record().VMs, 60) // in use until the next write
+	write()
+	is.Equal(s.writes, 2)
+	e.Observe(record(nil, 70)) // of the era before
+	is.Equal(s.value, e.Record().append(nil))
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(summarize(newMembers(20)).append(nil))
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -54,9 +54,9 @@
 	log     *logrus.Logger
 	// Cache is the copy of the store. Other VMs may follow it.
 	Cache replicator.Cache
-	// OnFleetRecord is called with each change of the fleet record; nil for none. It must be set before
+	// OnRecord is called with each change of a record of the VMs; nil for none. It must be set before
 	// use and must not call the Follower, whose lock is held during the call.
-	OnFleetRecord func(it replicator.Item)
+	OnRecord func(kind KeyKind, it replicator.Item)
 
 	reads   *prometheus.CounterVec
 	sources sourceStates
@@ -98,8 +98,17 @@
 
 // Load applies a snapshot of the store.
 func (f *Follower) Load(b replicator.Batch, now time.Time) {
-	synced := f.Cache.SyncedAt()
-	f.applyChanges(f.Cache.Load(b, now), synced, now)
+	synced, before := f.Cache.SyncedAt(), f.Cache.Version()
+	changes := f.Cache.Load(b, now)
+	if after := f.Cache.Version(); before.Revision > 0 && after.Era != before.Era {
+		f.log.WithFields(logrus.Fields{
+			"event": "store-era", "era": after.Era, "revision": after.Revision, "before-era": before.Era, "before-revision": before.Revision,
+			"changes": len(changes),
+		}).Warn("the store has come back from an older copy")
+		// What the copy lacks may have been written after it was made, and is written again once the store is back.
+		synced = f.Cache.SyncedAt()
+	}
+	f.applyChanges(changes, synced, now)
 }
 
 // Apply applies changes of the store.
@@ -158,8 +167,8 @@
 	case ReplicaKey:
 		f.applyReplica(name, it, removedAt)
 	case FleetKey:
-		if f.OnFleetRecord != nil {
-			f.OnFleetRecord(it)
+		if f.OnRecord != nil {
+			f.OnRecord(kind, it)
 		}
 	case OtherKey:
 	}
--- a/services/follower/follower_test.go
+++ b/services/follower/follower_test.go
@@ -50,11 +50,11 @@
 }
 
 func item(key, value string, rev uint64) replicator.Item {
-	return replicator.Item{Key: key, Value: []byte(value), Revision: rev, Removed: value == ""}
+	return replicator.Item{Key: key, Value: []byte(value), Version: replicator.Version{Revision: rev}, Removed: value == ""}
 }
 
 func batch(rev uint64, items ...replicator.Item) replicator.Batch {
-	return replicator.Batch{Items: items, Cursor: replicator.Cursor{Revision: rev}}
+	return replicator.Batch{Items: items, Cursor: replicator.Cursor{Version: replicator.Version{Revision: rev}}}
 }
 
 func TestBeliefs(t *testing.T) {
--- a/services/follower/metrics.go
+++ b/services/follower/metrics.go
@@ -15,6 +15,7 @@
 		return time.Since(f.Cache.SyncedAt()).Seconds()
 	})
 	gauge("revision", "Revision of the store that the copy is whole up to.", func() float64 { return float64(f.Cache.Revision()) })
+	gauge("era", "Era of the store that the copy is of; 0 if the store tells none.", func() float64 { return float64(f.Cache.Version().Era) })
 	gauge("config_version", "Version of the configuration in force; 0 for none.", func() float64 {
 		if s := f.State(); s != nil {
 			return float64(s.Table.Config.Version)
--- a/services/follower/watcher.go
+++ b/services/follower/watcher.go
@@ -65,7 +65,8 @@
 // errPreferred is returned if a source was left for a preferred one.
 var errPreferred = errors.New("preferred source available")
 
-// errStale is returned if the copy of another VM is older than replicator.StaleAfter.
+// errStale is returned if the copy of another VM is older than replicator.StaleAfter, or if a source is at an earlier
+// era of the store than this VM's copy.
 var errStale = errors.New("source has no fresh data")
 
 // NamedSource is a source with its name and the rules for its use.
@@ -158,7 +159,10 @@
 		return b.Cursor, errStale
 	}
 	f.Load(f.noteStore(s, b), time.Now())
-	f.log.WithFields(logrus.Fields{"event": "snapshot", "source": s.Name, "revision": b.Revision, "items": len(b.Items), "age": b.Age.String()}).Info("snapshot read")
+	if b.Era < f.Cache.Version().Era {
+		return b.Cursor, errStale
+	}
+	f.log.WithFields(logrus.Fields{"event": "snapshot", "source": s.Name, "era": b.Era, "revision": b.Revision, "items": len(b.Items), "age": b.Age.String()}).Info("snapshot read")
 	return b.Cursor, nil
 }
 
@@ -297,8 +301,14 @@
 		now := time.Now()
 		w.follower.Apply(w.follower.noteStore(s, b), now)
 		after = b.Cursor
-		if !s.IsStore && b.Age > replicator.StaleAfter {
+		switch era := w.follower.Cache.Version().Era; {
+		case b.Era < era, !s.IsStore && b.Age > replicator.StaleAfter:
 			return errStale
+		case b.Era > era:
+			// The copy has gone back to a lower era, in which the changes don't count.
+			if after, err = w.loadSnapshot(ctx, s); err != nil {
+				return err
+			}
 		}
 		if s.IsStore && len(b.Items) > 0 {
 			pauser.Pause(ctx, storeBatchDelay)
--- a/services/launcher/fleet.go
+++ b/services/launcher/fleet.go
@@ -10,6 +10,9 @@
 
 	"github.com/ebonylock/ebonylock/modules/prober"
 	"github.com/ebonylock/ebonylock/modules/selector"
+	"github.com/ebonylock/ebonylock/platform/store"
+	"github.com/ebonylock/ebonylock/services/follower"
+	"github.com/ebonylock/ebonylock/services/replicator"
 )
 
 // MembersChanged implements gossiper.Observer.
@@ -58,6 +61,15 @@
 	return members
 }
 
+// observeRecord processes a change of a record that the VMs share.
+func (d *Daemon) observeRecord(kind follower.KeyKind, it replicator.Item) {
+	if kind == follower.FleetKey {
+		d.enroll.Observe(it)
+		// The follower holds its lock during this call, and updateMembers calls the follower.
+		go d.updateMembers()
+	}
+}
+
 // maintainRecord writes the fleet record while this VM is the first reader of the store. After a start it
 // uses the recorded VMs as additional seeds until joinPeriod is over. It returns when ctx ends.
 func (d *Daemon) maintainRecord(ctx context.Context) {
@@ -81,6 +93,8 @@
 				d.setSeeds(d.site.Peers.Seeds)
 				d.updateMembers()
 			}
+			// The copy also shows that a record was lost which this VM wrote, but has not read since.
+			d.enroll.Observe(d.follow.Cache.Item(store.KeyFleet))
 			if d.provider.isFirstReader() {
 				d.enroll.WriteIfStale(ctx, d.gossip.Members(), now)
 			}
--- a/services/launcher/launcher.go
+++ b/services/launcher/launcher.go
@@ -37,8 +37,8 @@
 	"github.com/ebonylock/ebonylock/services/gatherer"
 	"github.com/ebonylock/ebonylock/services/gossiper"
 	"github.com/ebonylock/ebonylock/services/linker"
+	"github.com/ebonylock/ebonylock/services/recorder"
 	"github.com/ebonylock/ebonylock/services/relayer"
-	"github.com/ebonylock/ebonylock/services/replicator"
 )
 
 const (
@@ -82,6 +82,7 @@
 	spool   *spooler.Spooler
 	backend replica.Client
 	follow  *follower.Follower
+	store   *store.Client
 	forward *forwarder.Forwarder
 	// clients is the memory that callers and other VMs make this VM hold.
 	clients   rationer.Pool
@@ -140,16 +141,9 @@
 	routine.AddHook(vmHook(site.VM.ID))
 	d.log = log
 	d.follow = follower.New(store.Decoder{}, log)
-	d.enroll = &enroller.Enroller{Store: store.New(site.Store), Key: store.KeyFleet, Log: log}
-	d.follow.OnFleetRecord = func(it replicator.Item) {
-		if it.Removed {
-			d.enroll.ObserveRemoval(it.Revision)
-			return
-		}
-		d.enroll.ObserveRecord(it.Value, it.Revision)
-		// The follower holds its lock during this call, and updateMembers calls the follower.
-		go d.updateMembers()
-	}
+	d.store = store.New(site.Store, log)
+	d.enroll = &enroller.Enroller{Recorder: &recorder.Recorder{Store: d.store, Key: store.KeyFleet}, Log: log}
+	d.follow.OnRecord = d.observeRecord
 	gatherKeys, err := deriveKeys(site.Peers.Keys, "gather")
 	if err != nil {
 		return nil, err
@@ -264,7 +258,7 @@
 	d.relay.OnAnswer = func(a quarantiner.Answer) { d.quarantine.MarkAnswered(a) }
 	d.evidence.OnChange = d.logVerdict
 	d.relay.Evidence, d.relay.Losses = &d.evidence, &d.quarantine
-	d.provider = sourceProvider{self: d.site.VM.ID, dataCentre: d.site.VM.DataCentre, store: store.New(d.site.Store), keys: relayKeys, evidence: &d.evidence, losses: &d.quarantine, log: d.log}
+	d.provider = sourceProvider{self: d.site.VM.ID, dataCentre: d.site.VM.DataCentre, store: d.store, keys: relayKeys, evidence: &d.evidence, losses: &d.quarantine, log: d.log}
 	d.provider.seeds = seedMembers(d.site.Peers.Seeds, d.relay.Addr())
 	d.provider.deferFirstRead = d.site.FirstStart && len(d.provider.seeds) == len(d.site.Peers.Seeds) && len(d.provider.seeds) > 0
 	self := prober.Member{
--- a/services/launcher/readerslost_test.go
+++ b/services/launcher/readerslost_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -36,6 +37,8 @@
 	mu sync.Mutex
 	// dark holds the VMs without power.
 	dark map[string]bool
+	// eraless holds the VMs that send no era with their replies.
+	eraless map[string]bool
 	// calls holds the times of the store's calls by VMs with power.
 	calls []time.Time
 }
@@ -74,6 +77,13 @@
 	time.Sleep(trip / 2)
 	s.fl.mu.Lock()
 	dark := s.fl.dark[s.to] || s.fl.dark[s.from]
+	if s.fl.eraless[s.to] {
+		b.Era = 0
+		b.Items = slices.Clone(b.Items)
+		for i := range b.Items {
+			b.Items[i].Era = 0
+		}
+	}
 	s.fl.mu.Unlock()
 	if dark {
 		<-ctx.Done()
@@ -107,16 +117,17 @@
 	return out
 }
 
-// losePower lets the first lost VMs by rank of a fleet lose power at a moment that the seed draws, and changes
-// the store right after. It returns the time until all other VMs know of the change, the number of calls
-// of the store in the 3 s after the loss, and the most of them within 100 ms.
-func losePower(members []prober.Member, lost int, seed uint64) (took time.Duration, calls, peak int) {
-	draw := rand.New(rand.NewPCG(seed, 1))
+// storeTime returns the time at which the store is loaded: it lies in the future, so that the store is never stale.
+func storeTime() time.Time {
+	return time.Now().Add(1000 * time.Hour)
+}
+
+// startPowerFleet starts the VMs of a fleet and waits until a moment that is drawn. stop ends them.
+func startPowerFleet(members []prober.Member, draw *rand.Rand) (fl *powerFleet, stop func()) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	fl := &powerFleet{vms: make(map[string]*follower.Follower), dark: make(map[string]bool)}
-	// The time lies in the future, so that the store is never stale.
-	fl.store.Load(replicator.Batch{Items: []replicator.Item{{Key: "a", Revision: 1}}, Cursor: replicator.Cursor{Revision: 1}}, time.Now().Add(1000*time.Hour))
+	fl = &powerFleet{vms: make(map[string]*follower.Follower), dark: make(map[string]bool), eraless: make(map[string]bool)}
+	fl.store.Load(replicator.Batch{Items: []replicator.Item{{Key: "a", Version: replicator.Version{Revision: 1}}}, Cursor: replicator.Cursor{Version: replicator.Version{Revision: 1}}}, storeTime())
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for _, m := range members {
@@ -130,23 +141,24 @@
 		})
 	}
 	time.Sleep(10*time.Second + time.Duration(draw.IntN(1000))*time.Millisecond)
-	fl.mu.Lock()
-	for _, m := range rankMembers(members)[:lost] {
-		fl.dark[m.ID] = true
+	return fl, func() {
+		cancel()
+		wg.Wait()
 	}
-	fl.calls = nil
-	fl.mu.Unlock()
-	at := time.Now()
-	time.Sleep(time.Millisecond)
-	fl.store.Apply(replicator.Batch{Items: []replicator.Item{{Key: "a", Revision: 2}}, Cursor: replicator.Cursor{Revision: 2}}, at)
+}
+
+// wait waits until all VMs with power have reached a version, which the store has had since the time at. It returns how
+// long that took, the number of calls of the store in the 3 s from then on, and the most of them within 100 ms.
+func (fl *powerFleet) wait(v replicator.Version, at time.Time) (took time.Duration, calls, peak int) {
 	for id, f := range fl.vms {
-		for !fl.dark[id] && f.Cache.Revision() < 2 && time.Since(at) < 20*time.Second {
+		for !fl.dark[id] && f.Cache.Version().Before(v) && time.Since(at) < 20*time.Second {
 			time.Sleep(5 * time.Millisecond)
 		}
 	}
 	took = time.Since(at)
 	time.Sleep(3*time.Second - min(took, 3*time.Second))
 	fl.mu.Lock()
+	defer fl.mu.Unlock()
 	for i, c := range fl.calls {
 		n := 0
 		for _, d := range fl.calls[i:] {
@@ -159,12 +171,26 @@
 			calls++
 		}
 	}
-	fl.mu.Unlock()
-	cancel()
-	wg.Wait()
 	return took, calls, peak
 }
 
+// losePower lets the first lost VMs by rank of a fleet lose power at a moment that the seed draws, and changes
+// the store right after. It returns what wait returns.
+func losePower(members []prober.Member, lost int, seed uint64) (took time.Duration, calls, peak int) {
+	fl, stop := startPowerFleet(members, rand.New(rand.NewPCG(seed, 1)))
+	defer stop()
+	fl.mu.Lock()
+	for _, m := range rankMembers(members)[:lost] {
+		fl.dark[m.ID] = true
+	}
+	fl.calls = nil
+	fl.mu.Unlock()
+	at := time.Now()
+	time.Sleep(time.Millisecond)
+	fl.store.Apply(replicator.Batch{Items: []replicator.Item{{Key: "a", Version: replicator.Version{Revision: 2}}}, Cursor: replicator.Cursor{Version: replicator.Version{Revision: 2}}}, at)
+	return fl.wait(replicator.Version{Revision: 2}, at)
+}
+
 // TestReadersLosePower guards against VMs that go back and forth between VMs without power, while the store and
 // the standby readers would answer: a change is known everywhere within 3 s before the membership notices.
 func TestReadersLosePower(t *testing.T) {
--- a/services/relayer/codec.go
+++ b/services/relayer/codec.go
@@ -98,6 +98,8 @@
 	batchRevision protowire.Number = 1
 	batchItem     protowire.Number = 3
 	batchEpoch    protowire.Number = 4
+	// batchEra is the era of the batch and of all its items. VMs that don't know it send none.
+	batchEra protowire.Number = 5
 
 	itemKey      protowire.Number = 1
 	itemValue    protowire.Number = 2
@@ -108,6 +110,7 @@
 func appendBatch(b []byte, batch replicator.Batch) []byte {
 	b = encoder.AppendVarint(b, batchRevision, batch.Revision)
 	b = encoder.AppendVarint(b, batchEpoch, batch.Epoch)
+	b = encoder.AppendVarint(b, batchEra, batch.Era)
 	var item []byte
 	for _, it := range batch.Items {
 		item = encoder.AppendBytes(item[:0], itemKey, []byte(it.Key))
@@ -129,6 +132,8 @@
 			out.Revision = v
 		case batchEpoch:
 			out.Epoch = v
+		case batchEra:
+			out.Era = v
 		case batchItem:
 			it, err := decodeItem(raw)
 			if err != nil {
@@ -138,6 +143,9 @@
 		}
 		return nil
 	})
+	for i := range out.Items {
+		out.Items[i].Era = out.Era
+	}
 	return out, err
 }
 
--- a/services/relayer/relayer_test.go
+++ b/services/relayer/relayer_test.go
@@ -41,7 +41,7 @@
 }
 
 func batch(revision uint64, items ...replicator.Item) replicator.Batch {
-	return replicator.Batch{Items: items, Cursor: replicator.Cursor{Revision: revision}}
+	return replicator.Batch{Items: items, Cursor: replicator.Cursor{Version: replicator.Version{Revision: revision}}}
 }
 
 func TestFollow(t *testing.T) {
@@ -52,7 +52,7 @@
 	_, err := client.Snapshot(ctx)
 	is.True(errors.Is(err, ErrUnreachable)) // the other VM has no snapshot yet
 	now := time.Now()
-	c.Load(batch(5, replicator.Item{Key: "a", Value: []byte("1"), Revision: 3}, replicator.Item{Key: "b", Revision: 5}), now)
+	c.Load(batch(5, replicator.Item{Key: "a", Value: []byte("1"), Version: replicator.Version{Revision: 3}}, replicator.Item{Key: "b", Version: replicator.Version{Revision: 5}}), now)
 	b, err := client.Snapshot(ctx)
 	is.NoErr(err)
 	is.Equal(len(b.Items), 2)
@@ -65,10 +65,10 @@
 		b, _ := client.Changes(ctx, cursor, 5*time.Second)
 		done <- b
 	}()
-	c.Apply(batch(7, replicator.Item{Key: "a", Value: []byte("2"), Revision: 6}, replicator.Item{Key: "b", Revision: 7, Removed: true}), time.Now())
+	c.Apply(batch(7, replicator.Item{Key: "a", Value: []byte("2"), Version: replicator.Version{Revision: 6}}, replicator.Item{Key: "b", Version: replicator.Version{Revision: 7}, Removed: true}), time.Now())
 	b = <-done
-	is.Equal(b.Items, []replicator.Item{{Key: "a", Value: []byte("2"), Revision: 6}, {Key: "b", Revision: 7, Removed: true}})
-	_, err = client.Changes(ctx, replicator.Cursor{Revision: 2, Epoch: cursor.Epoch}, time.Millisecond)
+	is.Equal(b.Items, []replicator.Item{{Key: "a", Value: []byte("2"), Version: replicator.Version{Revision: 6}}, {Key: "b", Version: replicator.Version{Revision: 7}, Removed: true}})
+	_, err = client.Changes(ctx, replicator.Cursor{Version: replicator.Version{Revision: 2}, Epoch: cursor.Epoch}, time.Millisecond)
 	is.True(errors.Is(err, replicator.ErrCompacted))
 	b, err = client.Changes(ctx, b.Cursor, time.Millisecond)
 	is.NoErr(err)
@@ -85,11 +85,37 @@
 // TestStaleCopyAnswersAtOnce guards against a reader that is cut off from the store and lets its
 // followers wait for changes. It must answer at once with the age of its copy, so that they switch
 // to another source.
+// TestEraTravelsWithBatch guards against a follower that takes the state of a later era of the store for an older one.
+func TestEraTravelsWithBatch(t *testing.T) {
+	is := is.New(t)
+	var c, follower replicator.Cache
+	_, client := startServer(t, &c)
+	load := func(era, revision uint64) replicator.Batch {
+		v := replicator.Version{Era: era, Revision: revision}
+		c.Load(replicator.Batch{Items: []replicator.Item{{Key: "a", Version: v}}, Cursor: replicator.Cursor{Version: v}}, time.Now())
+		b, err := client.Snapshot(t.Context())
+		is.NoErr(err)
+		follower.Load(b, time.Now())
+		is.Equal(follower.Item("a").Version, v)
+		return b
+	}
+	before := load(1, 60)
+	after := load(2, 50)
+	_, err := client.Changes(t.Context(), before.Cursor, time.Minute)
+	is.True(errors.Is(err, replicator.ErrCompacted))
+	v := replicator.Version{Era: 2, Revision: 51}
+	c.Apply(replicator.Batch{Items: []replicator.Item{{Key: "a", Version: v}}, Cursor: replicator.Cursor{Version: v}}, time.Now())
+	b, err := client.Changes(t.Context(), after.Cursor, time.Minute)
+	is.NoErr(err)
+	is.Equal(b.Items[0].Version, v)
+	is.Equal(b.Version, v)
+}
+
 func TestStaleCopyAnswersAtOnce(t *testing.T) {
 	is := is.New(t)
 	var c replicator.Cache
 	_, client := startServer(t, &c)
-	c.Load(batch(5, replicator.Item{Key: "a", Revision: 3}), time.Now().Add(-time.Minute))
+	c.Load(batch(5, replicator.Item{Key: "a", Version: replicator.Version{Revision: 3}}), time.Now().Add(-time.Minute))
 	b, err := client.Snapshot(context.Background())
 	is.NoErr(err)
 	began := time.Now()
@@ -102,7 +128,7 @@
 func TestStrangersAreRefused(t *testing.T) {
 	is := is.New(t)
 	var c replicator.Cache
-	c.Load(batch(5, replicator.Item{Key: "a", Revision: 3}), time.Now())
+	c.Load(batch(5, replicator.Item{Key: "a", Version: replicator.Version{Revision: 3}}), time.Now())
 	s, _ := startServer(t, &c)
 	other, err := NewClient(s.Addr(), [][]byte{bytes.Repeat([]byte{2}, 32)})
 	is.NoErr(err)
@@ -152,7 +178,7 @@
 func TestReportsDoNotWaitForReads(t *testing.T) {
 	is := is.New(t)
 	var c replicator.Cache
-	c.Load(batch(5, replicator.Item{Key: "a", Revision: 3}), time.Now())
+	c.Load(batch(5, replicator.Item{Key: "a", Version: replicator.Version{Revision: 3}}), time.Now())
 	s, client := startServer(t, &c)
 	const reports = 20
 	received := make(chan []quarantiner.Loss, reports)
@@ -211,13 +237,13 @@
 	s := &Server{}
 	b := batch(9)
 	for i := range 100 {
-		b.Items = append(b.Items, replicator.Item{Key: fmt.Sprint("servers/", i), Value: bytes.Repeat([]byte("entry "), 40), Revision: 9})
+		b.Items = append(b.Items, replicator.Item{Key: fmt.Sprint("servers/", i), Value: bytes.Repeat([]byte("entry "), 40), Version: replicator.Version{Revision: 9}})
 	}
-	first := s.compressed(readRequest{after: replicator.Cursor{Revision: 3}, wait: time.Second}, b)
-	second := s.compressed(readRequest{after: replicator.Cursor{Revision: 3}, wait: time.Minute}, b)
+	first := s.compressed(readRequest{after: replicator.Cursor{Version: replicator.Version{Revision: 3}}, wait: time.Second}, b)
+	second := s.compressed(readRequest{after: replicator.Cursor{Version: replicator.Version{Revision: 3}}, wait: time.Minute}, b)
 	is.True(&first[0] == &second[0])
 	is.True(len(first) < 3000) // 25 kB without compression
-	other := s.compressed(readRequest{after: replicator.Cursor{Revision: 4}}, batch(9))
+	other := s.compressed(readRequest{after: replicator.Cursor{Version: replicator.Version{Revision: 4}}}, batch(9))
 	r, err := decodeReply(appendReply(nil, time.Second, other), time.Now())
 	got := r.batch
 	is.NoErr(err)
@@ -226,7 +252,7 @@
 }
 
 func FuzzDecodeReply(f *testing.F) {
-	f.Add(appendReply(nil, time.Second, compress(batch(3, replicator.Item{Key: "k", Value: []byte("v"), Revision: 2}))))
+	f.Add(appendReply(nil, time.Second, compress(batch(3, replicator.Item{Key: "k", Value: []byte("v"), Version: replicator.Version{Revision: 2}}))))
 	f.Add(appendLosses(nil, []quarantiner.Loss{{Fingerprint: 1, Group: 2, Server: "i-1", GroupAnswered: time.Now()}}, time.Now()))
 	f.Fuzz(func(_ *testing.T, raw []byte) {
 		_, _ = decodeReply(raw, time.Now())
@@ -240,7 +266,7 @@
 func TestEvidenceTravels(t *testing.T) {
 	is := is.New(t)
 	var c replicator.Cache
-	c.Load(batch(5, replicator.Item{Key: "a", Revision: 3}), time.Now())
+	c.Load(batch(5, replicator.Item{Key: "a", Version: replicator.Version{Revision: 3}}), time.Now())
 	s, reporting := startServer(t, &c)
 	var collected, observed, learned reporter.Evidence
 	s.Evidence, reporting.Evidence = &collected, &observed
@@ -270,7 +296,7 @@
 func TestLossesTravel(t *testing.T) {
 	is := is.New(t)
 	var c replicator.Cache
-	c.Load(batch(5, replicator.Item{Key: "a", Revision: 3}), time.Now())
+	c.Load(batch(5, replicator.Item{Key: "a", Version: replicator.Version{Revision: 3}}), time.Now())
 	s, client := startServer(t, &c)
 	var known, learned quarantiner.Tracker
 	s.Losses, client.Losses = &known, &learned
--- a/services/replicator/replicator.go
+++ b/services/replicator/replicator.go
@@ -3,6 +3,7 @@
 package replicator
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -23,26 +24,26 @@
 type Item struct {
 	Key   string
 	Value []byte
-	// Revision is the store's revision at the last change of the key.
-	Revision uint64
-	// Removed is true if the key was deleted at Revision.
+	// Version is that of the last change of the key.
+	Version
+	// Removed is true if the key was deleted at Version.
 	Removed bool
 }
 
 // Cursor is a position in the change history of one source.
 type Cursor struct {
-	// Revision is the revision up to which all changes are known.
-	Revision uint64
-	// Epoch changes if a source finds changes at earlier revisions that it had missed. It is always
-	// 0 for the store itself.
+	// Version is that up to which all changes are known.
+	Version
+	// Epoch changes if a source finds changes at earlier versions that it had missed, or moves to another
+	// era. It is always 0 for the store itself.
 	Epoch uint64
 }
 
-// Batch is a snapshot of a source, or the changes up to a cursor.
+// Batch is a snapshot of a source, or the changes up to a cursor. All versions in it are of one era.
 type Batch struct {
 	Items []Item
 	Cursor
-	// Age is the time since the store itself was last known to be at Revision.
+	// Age is the time since the store itself was last known to be at Version.
 	Age time.Duration
 	// StableFor is the time since the store answered again after it had not answered a VM that read it;
 	// 0 if no such time is known.
@@ -72,26 +73,31 @@
 // maxRemoved is the maximum number of removed keys that are remembered.
 const maxRemoved = 8192
 
+// eraFallTime is the time by which a snapshot of a lower era must be fresher than the copy to replace it. It is longer
+// than any read of the store and any time for which a VM with a stale copy is followed, so that a late reply never
+// does. The store reports a lower era only by mistake, which must not hide its data for good.
+const eraFallTime = 5 * time.Second
+
 // Cache is a copy of the store. The zero value is ready for use and safe for concurrent use.
 type Cache struct {
 	mu sync.Mutex
 	// items holds the last known state of each key that exists. It is nil before the first
-	// snapshot.
+	// snapshot. All items are of the era of version.
 	items map[string]Item
-	// removed holds the revision at which each key was removed, so that older changes from a slower
+	// removed holds the version at which each key was removed, so that older changes from a slower
 	// source do not restore a key. It is bounded by maxRemoved.
-	removed map[string]uint64
-	// revision is the revision up to which items are complete. It never decreases.
-	revision uint64
-	// syncedAt is the last time at which the store was known to be at revision.
+	removed map[string]Version
+	// version is that up to which items are complete. It decreases only if the store goes on to report a
+	// lower era.
+	version Version
+	// syncedAt is the last time at which the store was known to be at version.
 	syncedAt time.Time
 	// stableSince is the last known time at which the store answered again after a failure; zero if none
 	// is known.
 	stableSince time.Time
-	// history holds the last changes by ascending revision. All changes after the revision
-	// compacted are in it.
+	// history holds the last changes by ascending version. All changes after compacted are in it.
 	history   []Item
-	compacted uint64
+	compacted Version
 	// epoch starts at a random value, so that it differs after a restart of the process.
 	epoch uint64
 	// changed is closed at the next change. It is nil while nobody waits.
@@ -99,54 +105,74 @@
 }
 
 // Load applies a snapshot and returns the changes that it makes. A snapshot that is older than the
-// copy is ignored.
+// copy is ignored; one of another era replaces it.
 func (c *Cache) Load(b Batch, now time.Time) []Item {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.items != nil && b.Revision < c.revision {
+	if c.items != nil && b.Version.Before(c.version) && !c.hasFallen(b, now) {
 		return nil
 	}
 	if c.items == nil {
-		c.items, c.removed = make(map[string]Item), make(map[string]uint64)
+		c.items, c.removed = make(map[string]Item), make(map[string]Version)
 		c.epoch = rand.Uint64()
 	}
+	otherEra := b.Era != c.version.Era
+	if otherEra {
+		// Nothing that is known of the versions of another era says which changes are new.
+		clear(c.removed)
+		c.version, c.syncedAt = b.Version, now.Add(-b.Age)
+	}
 	var changes []Item
 	seen := make(map[string]bool, len(b.Items))
 	for _, it := range b.Items {
 		seen[it.Key] = true
-		if old, ok := c.items[it.Key]; !ok || old.Revision < it.Revision {
+		old, ok := c.items[it.Key]
+		switch {
+		case !ok, !otherEra && old.Version.Before(it.Version):
+			changes = append(changes, it)
+		case otherEra && (old.Revision != it.Revision || !bytes.Equal(old.Value, it.Value)):
 			changes = append(changes, it)
+		case otherEra:
+			c.items[it.Key] = it
 		}
 	}
 	for key, old := range c.items {
-		if !seen[key] && old.Revision <= b.Revision {
-			changes = append(changes, Item{Key: key, Revision: b.Revision, Removed: true})
+		if !seen[key] && (otherEra || !old.Version.After(b.Version)) {
+			changes = append(changes, Item{Key: key, Version: b.Version, Removed: true})
 		}
 	}
 	for _, it := range changes {
 		c.setItem(it)
 	}
 	c.recordChanges(changes, b, now)
-	if len(changes) > 0 {
-		// The changes may have lower revisions than the cursors of followers, so followers must
+	if len(changes) > 0 || otherEra {
+		// The changes may have lower versions than the cursors of followers, so followers must
 		// read a snapshot.
-		c.history, c.compacted = nil, c.revision
+		c.history, c.compacted = nil, c.version
 		c.epoch++
+		c.wakeFollowers()
 	}
 	return changes
 }
 
-// Apply applies changes and returns those that are new. It does nothing before the first snapshot.
+// hasFallen reports whether the store has gone on to report the lower era of b since it last reported that of the
+// copy. It must be called with the lock held.
+func (c *Cache) hasFallen(b Batch, now time.Time) bool {
+	return b.Era < c.version.Era && now.Add(-b.Age).Sub(c.syncedAt) >= eraFallTime
+}
+
+// Apply applies changes and returns those that are new. It does nothing before the first snapshot, and with
+// changes of another era, which follow from another state than that of the copy.
 func (c *Cache) Apply(b Batch, now time.Time) []Item {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.items == nil {
+	if c.items == nil || b.Era != c.version.Era {
 		return nil
 	}
 	var changes []Item
 	for _, it := range b.Items {
 		old, ok := c.items[it.Key]
-		if (ok && old.Revision < it.Revision) || (!ok && !it.Removed && c.removed[it.Key] < it.Revision) {
+		if (ok && old.Version.Before(it.Version)) || (!ok && !it.Removed && c.removed[it.Key].Before(it.Version)) {
 			changes = append(changes, it)
 			// Set the item now, since a batch may hold several changes of one key.
 			c.setItem(it)
@@ -166,31 +192,46 @@
 	if len(c.removed) >= maxRemoved {
 		clear(c.removed)
 	}
-	c.removed[it.Key] = it.Revision
+	c.removed[it.Key] = it.Version
 }
 
-// recordChanges adds changes to the history, advances revision and syncedAt, and wakes the waiting
+// recordChanges adds changes to the history, advances version and syncedAt, and wakes the waiting
 // followers. It must be called with the lock held.
 func (c *Cache) recordChanges(changes []Item, b Batch, now time.Time) {
-	slices.SortStableFunc(changes, func(a, b Item) int { return int(int64(a.Revision) - int64(b.Revision)) })
+	slices.SortStableFunc(changes, func(a, b Item) int { return a.Version.Compare(b.Version) })
 	c.history = append(c.history, changes...)
 	if n := excessHistory(c.history); n > 0 {
-		c.compacted = max(c.compacted, c.history[n-1].Revision)
+		c.compacted = latest(c.compacted, c.history[n-1].Version)
 		c.history = slices.Delete(c.history, 0, n)
 	}
-	c.revision = max(c.revision, b.Revision)
+	c.version = latest(c.version, b.Version)
 	if at := now.Add(-b.Age); at.After(c.syncedAt) {
 		c.syncedAt = at
 	}
 	if at := now.Add(-b.StableFor); b.StableFor > 0 && at.After(c.stableSince) {
 		c.stableSince = at
 	}
-	if len(changes) > 0 && c.changed != nil {
+	if len(changes) > 0 {
+		c.wakeFollowers()
+	}
+}
+
+// wakeFollowers ends the wait of all followers. It must be called with the lock held.
+func (c *Cache) wakeFollowers() {
+	if c.changed != nil {
 		close(c.changed)
 		c.changed = nil
 	}
 }
 
+// latest returns the later one of two versions.
+func latest(a, b Version) Version {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // excessHistory returns the number of changes at the start of history that exceed its bounds.
 func excessHistory(history []Item) int {
 	size := 0
@@ -204,12 +245,27 @@
 
 // Revision returns the revision up to which the copy is complete; 0 before the first snapshot.
 func (c *Cache) Revision() uint64 {
+	return c.Version().Revision
+}
+
+// Version returns the version up to which the copy is complete; zero before the first snapshot.
+func (c *Cache) Version() Version {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.revision
+	return c.version
+}
+
+// Item returns the state of a key. The item of a key that doesn't exist is removed at the version of the copy.
+func (c *Cache) Item(key string) Item {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if it, ok := c.items[key]; ok {
+		return it
+	}
+	return Item{Key: key, Version: c.version, Removed: true}
 }
 
-// SyncedAt returns the time at which the store was last known to be at the copy's revision; zero
+// SyncedAt returns the time at which the store was last known to be at the copy's version; zero
 // before the first snapshot.
 func (c *Cache) SyncedAt() time.Time {
 	c.mu.Lock()
@@ -240,7 +296,7 @@
 	if c.items == nil {
 		return Batch{}, ErrNotReady
 	}
-	b := Batch{Cursor: Cursor{c.revision, c.epoch}, Age: time.Since(c.syncedAt), StableFor: c.stableFor()}
+	b := Batch{Cursor: Cursor{c.version, c.epoch}, Age: time.Since(c.syncedAt), StableFor: c.stableFor()}
 	for _, it := range c.items {
 		b.Items = append(b.Items, it)
 	}
@@ -272,19 +328,21 @@
 func (c *Cache) changesSince(after Cursor) (Batch, chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// A cursor of this epoch is of the copy's era. VMs don't send the eras of their cursors.
+	after.Era = c.version.Era
 	switch {
 	case c.items == nil:
 		return Batch{}, nil, ErrNotReady
-	case after.Epoch != c.epoch, after.Revision < c.compacted:
+	case after.Epoch != c.epoch, after.Version.Before(c.compacted):
 		return Batch{}, nil, ErrCompacted
 	}
 	if c.changed == nil {
 		c.changed = make(chan struct{})
 	}
 	// The cursor of a follower that is ahead of this copy must not go back.
-	b := Batch{Cursor: Cursor{max(c.revision, after.Revision), c.epoch}, Age: time.Since(c.syncedAt), StableFor: c.stableFor()}
+	b := Batch{Cursor: Cursor{latest(c.version, after.Version), c.epoch}, Age: time.Since(c.syncedAt), StableFor: c.stableFor()}
 	for _, it := range c.history {
-		if it.Revision > after.Revision {
+		if it.Version.After(after.Version) {
 			b.Items = append(b.Items, it)
 		}
 	}
--- a/services/replicator/replicator_test.go
+++ b/services/replicator/replicator_test.go
@@ -15,20 +15,25 @@
 var startTime = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func putItem(key string, rev uint64) Item {
-	return Item{Key: key, Value: fmt.Append(nil, key, rev), Revision: rev}
+	return Item{Key: key, Value: fmt.Append(nil, key, rev), Version: Version{Revision: rev}}
+}
+
+// at returns the cursor at a revision of a store that tells no era.
+func at(rev uint64) Cursor {
+	return Cursor{Version: Version{Revision: rev}}
 }
 
 func removedItem(key string, rev uint64) Item {
-	return Item{Key: key, Revision: rev, Removed: true}
+	return Item{Key: key, Version: Version{Revision: rev}, Removed: true}
 }
 
 func TestLoadTellsWhatChanged(t *testing.T) {
 	is := is.New(t)
 	var c Cache
-	is.Equal(len(c.Load(Batch{Items: []Item{putItem("a", 1), putItem("b", 2)}, Cursor: Cursor{Revision: 2}}, startTime)), 2)
-	is.Equal(len(c.Load(Batch{Items: []Item{putItem("a", 1), putItem("b", 2)}, Cursor: Cursor{Revision: 2}}, startTime)), 0)
-	is.Equal(c.Load(Batch{Items: []Item{putItem("a", 5)}, Cursor: Cursor{Revision: 6}}, startTime), []Item{putItem("a", 5), removedItem("b", 6)})
-	is.Equal(len(c.Load(Batch{Items: []Item{putItem("a", 1), putItem("b", 2)}, Cursor: Cursor{Revision: 2}}, startTime)), 0) // older snapshot
+	is.Equal(len(c.Load(Batch{Items: []Item{putItem("a", 1), putItem("b", 2)}, Cursor: at(2)}, startTime)), 2)
+	is.Equal(len(c.Load(Batch{Items: []Item{putItem("a", 1), putItem("b", 2)}, Cursor: at(2)}, startTime)), 0)
+	is.Equal(c.Load(Batch{Items: []Item{putItem("a", 5)}, Cursor: at(6)}, startTime), []Item{putItem("a", 5), removedItem("b", 6)})
+	is.Equal(len(c.Load(Batch{Items: []Item{putItem("a", 1), putItem("b", 2)}, Cursor: at(2)}, startTime)), 0) // older snapshot
 	is.Equal(c.Revision(), uint64(6))
 }
 
@@ -37,20 +42,20 @@
 func TestSlowerSourceBringsNothingBack(t *testing.T) {
 	is := is.New(t)
 	var c Cache
-	c.Load(Batch{Items: []Item{putItem("a", 1)}, Cursor: Cursor{Revision: 1}}, startTime)
-	c.Apply(Batch{Items: []Item{putItem("b", 2), removedItem("b", 3), putItem("a", 4)}, Cursor: Cursor{Revision: 4}}, startTime)
-	is.Equal(len(c.Apply(Batch{Items: []Item{putItem("b", 2)}, Cursor: Cursor{Revision: 2}}, startTime)), 0)
-	is.Equal(len(c.Apply(Batch{Items: []Item{putItem("a", 1)}, Cursor: Cursor{Revision: 2}}, startTime)), 0)
-	is.Equal(len(c.Apply(Batch{Items: []Item{putItem("b", 9)}, Cursor: Cursor{Revision: 9}}, startTime)), 1) // written again after the removal
+	c.Load(Batch{Items: []Item{putItem("a", 1)}, Cursor: at(1)}, startTime)
+	c.Apply(Batch{Items: []Item{putItem("b", 2), removedItem("b", 3), putItem("a", 4)}, Cursor: at(4)}, startTime)
+	is.Equal(len(c.Apply(Batch{Items: []Item{putItem("b", 2)}, Cursor: at(2)}, startTime)), 0)
+	is.Equal(len(c.Apply(Batch{Items: []Item{putItem("a", 1)}, Cursor: at(2)}, startTime)), 0)
+	is.Equal(len(c.Apply(Batch{Items: []Item{putItem("b", 9)}, Cursor: at(9)}, startTime)), 1) // written again after the removal
 }
 
 func TestFreshOnlyRises(t *testing.T) {
 	is := is.New(t)
 	var c Cache
-	c.Load(Batch{Cursor: Cursor{Revision: 1}}, startTime.Add(time.Second))
-	c.Apply(Batch{Cursor: Cursor{Revision: 1}, Age: time.Minute}, startTime.Add(2*time.Second))
+	c.Load(Batch{Cursor: at(1)}, startTime.Add(time.Second))
+	c.Apply(Batch{Cursor: at(1), Age: time.Minute}, startTime.Add(2*time.Second))
 	is.Equal(c.SyncedAt(), startTime.Add(time.Second))
-	c.Apply(Batch{Cursor: Cursor{Revision: 1}, Age: time.Second}, startTime.Add(5*time.Second))
+	c.Apply(Batch{Cursor: at(1), Age: time.Second}, startTime.Add(5*time.Second))
 	is.Equal(c.SyncedAt(), startTime.Add(4*time.Second))
 }
 
@@ -60,13 +65,13 @@
 		var c Cache
 		_, err := c.Changes(t.Context(), Cursor{}, time.Second)
 		is.True(errors.Is(err, ErrNotReady))
-		c.Load(Batch{Items: []Item{putItem("a", 1)}, Cursor: Cursor{Revision: 1}}, time.Now())
-		began, cursor := time.Now(), Cursor{Revision: 1, Epoch: c.epoch}
+		c.Load(Batch{Items: []Item{putItem("a", 1)}, Cursor: at(1)}, time.Now())
+		began, cursor := time.Now(), Cursor{Version: Version{Revision: 1}, Epoch: c.epoch}
 		b, err := c.Changes(t.Context(), cursor, time.Second)
 		is.NoErr(err)
 		is.Equal(len(b.Items), 0)
 		is.Equal(time.Since(began), time.Second)
-		time.AfterFunc(100*time.Millisecond, func() { c.Apply(Batch{Items: []Item{putItem("a", 2)}, Cursor: Cursor{Revision: 2}}, time.Now()) })
+		time.AfterFunc(100*time.Millisecond, func() { c.Apply(Batch{Items: []Item{putItem("a", 2)}, Cursor: at(2)}, time.Now()) })
 		b, err = c.Changes(t.Context(), cursor, time.Second)
 		is.NoErr(err)
 		is.Equal(b.Items, []Item{putItem("a", 2)})
@@ -77,7 +82,7 @@
 		is.True(time.Since(began) == 0 && b.Age > StaleAfter)
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		c.Apply(Batch{Cursor: Cursor{Revision: 2}}, time.Now())
+		c.Apply(Batch{Cursor: at(2)}, time.Now())
 		_, err = c.Changes(ctx, b.Cursor, time.Second)
 		is.True(errors.Is(err, context.Canceled))
 	})
@@ -88,8 +93,8 @@
 func TestKeyChangedTwiceInOneBatch(t *testing.T) {
 	is := is.New(t)
 	var c Cache
-	c.Load(Batch{Cursor: Cursor{Revision: 1}}, startTime)
-	is.Equal(len(c.Apply(Batch{Items: []Item{putItem("a", 2), removedItem("a", 3)}, Cursor: Cursor{Revision: 3}}, startTime)), 2)
+	c.Load(Batch{Cursor: at(1)}, startTime)
+	is.Equal(len(c.Apply(Batch{Items: []Item{putItem("a", 2), removedItem("a", 3)}, Cursor: at(3)}, startTime)), 2)
 	is.Equal(len(c.items), 0)
 }
 
@@ -98,19 +103,19 @@
 func TestLargeHistoryIsForgotten(t *testing.T) {
 	is := is.New(t)
 	var c Cache
-	c.Load(Batch{Cursor: Cursor{Revision: 1}}, time.Now().Add(time.Hour))
+	c.Load(Batch{Cursor: at(1)}, time.Now().Add(time.Hour))
 	size := 0
 	for rev := uint64(2); rev < 200; rev++ {
-		it := Item{Key: "config", Value: make([]byte, 1<<20), Revision: rev}
-		c.Apply(Batch{Items: []Item{it}, Cursor: Cursor{Revision: rev}}, time.Now().Add(time.Hour))
+		it := Item{Key: "config", Value: make([]byte, 1<<20), Version: Version{Revision: rev}}
+		c.Apply(Batch{Items: []Item{it}, Cursor: at(rev)}, time.Now().Add(time.Hour))
 	}
 	for _, it := range c.history {
 		size += len(it.Value)
 	}
 	is.True(size > 0 && size <= maxHistoryBytes)
-	_, err := c.Changes(t.Context(), Cursor{Revision: 2, Epoch: c.epoch}, time.Second)
+	_, err := c.Changes(t.Context(), Cursor{Version: Version{Revision: 2}, Epoch: c.epoch}, time.Second)
 	is.True(errors.Is(err, ErrCompacted))
-	b, err := c.Changes(t.Context(), Cursor{Revision: 197, Epoch: c.epoch}, time.Second)
+	b, err := c.Changes(t.Context(), Cursor{Version: Version{Revision: 197}, Epoch: c.epoch}, time.Second)
 	is.NoErr(err)
 	is.Equal(len(b.Items), 2)
 }
@@ -125,7 +130,7 @@
 		var rev uint64
 		var after Cursor
 		snapshot := func() Batch {
-			b := Batch{Cursor: Cursor{Revision: rev}}
+			b := Batch{Cursor: at(rev)}
 			for _, it := range store {
 				b.Items = append(b.Items, it)
 			}
@@ -146,7 +151,7 @@
 				after = b.Cursor
 			}
 		}
-		reader.Load(Batch{Cursor: Cursor{Revision: 0}}, time.Now().Add(time.Hour))
+		reader.Load(Batch{Cursor: at(0)}, time.Now().Add(time.Hour))
 		for range rapid.IntRange(1, 60).Draw(t, "n") {
 			rev++
 			key := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key"))
@@ -158,7 +163,7 @@
 				store[key] = it
 			}
 			if rapid.IntRange(0, 3).Draw(t, "missed") > 0 {
-				reader.Apply(Batch{Items: []Item{it}, Cursor: Cursor{Revision: rev}}, time.Now().Add(time.Hour))
+				reader.Apply(Batch{Items: []Item{it}, Cursor: at(rev)}, time.Now().Add(time.Hour))
 			}
 			if rapid.IntRange(0, 9).Draw(t, "snapshot") == 0 {
 				reader.Load(snapshot(), time.Now().Add(time.Hour))
--- a/tests/site/store.go
+++ b/tests/site/store.go
@@ -5,9 +5,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -38,6 +40,8 @@
 	Malformed bool
 	// Delay is added to the time of every call.
 	Delay time.Duration
+	// Era, if not nil, replaces the era in the header of each answer; an empty one leaves the header out.
+	Era *string
 }
 
 // Store is a fake of the platform's key-value store.
@@ -50,6 +54,8 @@
 	mu       sync.Mutex
 	items    map[string]item
 	revision uint64
+	// era counts the times that the store has come back from a copy, plus one.
+	era uint64
 	// history holds all changes with a revision above compacted.
 	history   []item
 	compacted uint64
@@ -68,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{ln: ln, pageSize: pageSize, items: make(map[string]item), revision: 1, compacted: 1, changed: make(chan struct{}), calls: make(map[string]int)}
+	s := &Store{ln: ln, pageSize: pageSize, items: make(map[string]item), revision: 1, compacted: 1, era: 1, changed: make(chan struct{}), calls: make(map[string]int)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/kv-key", s.handler("key", s.getKey))
 	mux.HandleFunc("GET /-/kv-range", s.handler("range", s.listRange))
@@ -136,6 +142,38 @@
 	s.history, s.compacted = nil, s.revision
 }
 
+// Copy is the state of a Store at a moment.
+type Copy struct {
+	items     map[string]item
+	revision  uint64
+	history   []item
+	compacted uint64
+}
+
+// Copy returns a copy of the present state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{maps.Clone(s.items), s.revision, slices.Clone(s.history), s.compacted}
+}
+
+// Restore makes the store come back from a copy in the next era, in which it gives out again the revisions of all
+// changes since the copy was made. Waiting watches are answered.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.revision, s.history, s.compacted = maps.Clone(c.items), c.revision, slices.Clone(c.history), c.compacted
+	s.era++
+	s.notifyWatchers()
+}
+
+// Value returns the value of a key; nil if it does not exist.
+func (s *Store) Value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
 // put writes an item at the current revision. The caller must hold s.mu.
 func (s *Store) put(key string, value []byte) {
 	it := item{Key: key, Value: value, Revision: s.revision, Created: s.revision}
@@ -172,8 +210,17 @@
 		}
 		time.Sleep(faults.Delay)
 		status, body := faults.Status, any(map[string]any{})
+		era := s.eraHeader()
 		if status == 0 {
 			status, body = f(r)
+			// An answer from the time before a copy was restored is not of the new era.
+			for now := s.eraHeader(); now != era; now = s.eraHeader() {
+				era = now
+				status, body = f(r)
+			}
+		}
+		if era != "" {
+			w.Header().Set("Store-Era", era)
 		}
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(status)
@@ -185,6 +232,16 @@
 	}
 }
 
+// eraHeader returns the value of the header Store-Era; empty for none.
+func (s *Store) eraHeader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Era != nil {
+		return *s.faults.Era
+	}
+	return strconv.FormatUint(s.era, 10)
+}
+
 func (s *Store) getKey(r *http.Request) (int, any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -225,7 +282,7 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for timedOut := false; ; {
 		s.mu.Lock()
-		if after < s.compacted {
+		if after < s.compacted || after > s.revision {
 			s.mu.Unlock()
 			return http.StatusGone, map[string]any{}
 		}
