An older copy of the store doesn't overrule the operator's last word

Callers would see, after the store has come back from a copy: requests at a zone whose evacuation the copy lacks, none at one whose evacuation was taken back, and requests at replicas that were draining or had left.

--- a/modules/registrar/registrar.go
+++ b/modules/registrar/registrar.go
@@ -75,6 +75,15 @@
 	r.entries[rep.ID] = &entry{Replica: rep}
 }
 
+// Get returns the entry with an ID. It returns false if there is none.
+func (r *Registry) Get(id string) (Replica, bool) {
+	e := r.entries[id]
+	if e == nil {
+		return Replica{}, false
+	}
+	return e.Replica, true
+}
+
 // MarkMissing records that an entry is missing since a time, which may be long before it is noticed, unless
 // it is already marked.
 func (r *Registry) MarkMissing(id string, since time.Time) {
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -69,6 +69,8 @@
 	registry registrar.Registry
 	// evacuated holds the data centres that are out of service.
 	evacuated map[string]bool
+	// deferred holds changes by key that don't count yet, since the store has come back from an older copy.
+	deferred  map[string]deferral
 	vms, rank int
 }
 
@@ -100,17 +102,23 @@
 
 // Load applies a snapshot of the store.
 func (f *Follower) Load(b replicator.Batch, now time.Time) {
-	synced, before := f.Cache.SyncedAt(), f.Cache.Version()
+	synced, before, gone := f.Cache.SyncedAt(), f.Cache.Version(), f.Cache.Removed()
 	changes := f.Cache.Load(b, now)
-	if after := f.Cache.Version(); before.Revision > 0 && after.Era != before.Era {
-		f.log.WithFields(logrus.Fields{
-			"event": "store-era", "era": after.Era, "revision": after.Revision, "before-era": before.Era, "before-revision": before.Revision,
-			"changes": len(changes),
-		}).Warn("the store has come back from an older copy")
-		// What the copy lacks may have been written after it was made, and is written again once the store is back.
-		synced = f.Cache.SyncedAt()
+	after := f.Cache.Version()
+	if before.Revision == 0 || after.Era == before.Era {
+		f.applyChanges(changes, synced, now)
+		return
 	}
-	f.applyChanges(changes, synced, now)
+	f.log.WithFields(logrus.Fields{
+		"event": "store-era", "era": after.Era, "revision": after.Revision, "before-era": before.Era, "before-revision": before.Revision,
+		"changes": len(changes),
+	}).Warn("the store has come back from an older copy")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	// What the copy lacks is missing from now on, not from when it was last read.
+	f.applyRestored(changes, gone, f.Cache.SyncedAt(), now)
+	f.sweep(now)
+	f.publish()
 }
 
 // Apply applies changes of the store.
@@ -156,6 +164,7 @@
 
 // applyItem applies one change. removedAt is the result of removalTime.
 func (f *Follower) applyItem(it replicator.Item, removedAt time.Time) {
+	delete(f.deferred, it.Key)
 	switch kind, name := f.decoder.ParseKey(it.Key); kind {
 	case ConfigKey:
 		f.applyConfig(it)
@@ -246,7 +255,8 @@
 func (f *Follower) expire(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.sweep(now) {
+	applied := f.applyDeferred(now)
+	if f.sweep(now) || applied {
 		f.publish()
 	}
 }
--- a/services/replicator/replicator.go
+++ b/services/replicator/replicator.go
@@ -255,6 +255,19 @@
 	return c.version
 }
 
+// Removed returns the keys that are known to have been removed.
+func (c *Cache) Removed() map[string]bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]bool, len(c.removed))
+	for key := range c.removed {
+		if _, ok := c.items[key]; !ok {
+			out[key] = true
+		}
+	}
+	return out
+}
+
 // Item returns the state of a key. The item of a key that doesn't exist is removed at the version of the copy.
 func (c *Cache) Item(key string) Item {
 	c.mu.Lock()
