Soak: the store comes back from older copies, all VMs are killed at once

Drills draws both beside the faults of Cuts; the operator and the servers write again what the store loses. The budget of requests that crash servers is checked as before.

--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -59,6 +59,7 @@
 	for i := range *seeds {
 		run(Config{Seed: *first + i, FaultDuration: *length, Stops: true, Notices: true})
 		run(Config{Seed: *first + i, FaultDuration: *length, Cuts: true, VMs: cutVMs})
+		run(Config{Seed: *first + i, FaultDuration: *length, Drills: true, VMs: cutVMs})
 	}
 	for _, r := range regressions {
 		t.Log(r.cause)
