--- a/services/forwarder/crash_test.go
+++ b/services/forwarder/crash_test.go
@@ -161,3 +161,29 @@
 		is.Equal(ask("/read/harmless"), http.StatusOK)
 	})
 }
+
+// TestLossesOfRecordBlockAllPaths guards against a request that crashes replicas and reaches them through a VM that knows
+// its losses from the record in the store only: to one service, to several shards, and as a call of another VM.
+func TestLossesOfRecordBlockAllPaths(t *testing.T) {
+	runTest(t, true, func(*registrar.Candidate) behaviour { return served(time.Millisecond) }, func(is *is.I, f *Forwarder, b *fakeBackend) {
+		var losses quarantiner.Tracker
+		f.cfg.Quarantine = &losses
+		for _, path := range []string{"/read/x", "/sweep/x"} {
+			for i := range 2 {
+				at := time.Now().Add(time.Duration(i-9) * time.Second)
+				losses.Merge([]quarantiner.Loss{{Fingerprint: identify(request(path, time.Second)).request, Server: path + strconv.Itoa(i), At: at, Inexact: true}}, time.Now())
+			}
+			is.Equal(f.Serve(context.Background(), request(path, time.Second)).Status, http.StatusServiceUnavailable)
+		}
+		call := &Call{
+			Request: request("/sweep/x", time.Second), Route: "sweep", Shards: []string{"shard-0"}, TotalShards: 1, MinParts: 1,
+			TopK: 5, TargetLatency: target, MaxAttempts: 2, Cutoff: time.Now().Add(target), Deadline: time.Now().Add(time.Second),
+		}
+		var parts []Partial
+		is.NoErr(f.Collect(context.Background(), call, func() bool { return true }, func(p Partial) { parts = append(parts, p) }))
+		is.Equal(len(parts), 1)
+		is.Equal(parts[0].Reasons, []string{outcomeQuarantined})
+		is.Equal(b.total(), 0)
+		is.Equal(f.Serve(context.Background(), request("/read/y", time.Second)).Status, http.StatusOK)
+	})
+}
