Records of the VMs don't stay in an era that was read by mistake

Cause: a record that was written, or read, in a higher era counted as newer than all that the copy of the store had after it, without end, while the copy goes back to a lower era after 5 s.

Change: recorder.Recorder goes back with it, after the same time.

--- a/services/recorder/recorder.go
+++ b/services/recorder/recorder.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/ebonylock/ebonylock/services/replicator"
 )
@@ -29,13 +30,14 @@
 	mu sync.Mutex
 	// revision is that of the key in the store; 0 if it does not exist.
 	revision uint64
-	// observed is the last version of the store at which revision is known. It may be of a lower era than
-	// the store, which then no longer has the writes of that era.
+	// observed is the last version of the store at which revision is known, and learned the time at which it
+	// became known.
 	observed replicator.Version
+	learned  time.Time
 }
 
-// Observe notes the state of the key at its version. It returns false if that is known already, or older than
-// what is known.
+// Observe notes the state of the key at its version, as the copy of the store has it. It returns false if that is
+// known already, or older than what is known. A state of a lower era is older for replicator.EraFallTime.
 func (r *Recorder) Observe(it replicator.Item) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -44,10 +46,11 @@
 		revision = it.Revision
 	}
 	known := r.observed != replicator.Version{} && it.Era == r.observed.Era && revision == r.revision
-	if it.Version.Before(r.observed) || known {
+	late := it.Version.Before(r.observed) && (it.Era == r.observed.Era || time.Since(r.learned) < replicator.EraFallTime)
+	if late || known {
 		return false
 	}
-	r.revision, r.observed = revision, it.Version
+	r.revision, r.observed, r.learned = revision, it.Version, time.Now()
 	return true
 }
 
@@ -66,6 +69,6 @@
 	if v.Before(r.observed) {
 		return v, ErrConflict
 	}
-	r.revision, r.observed = v.Revision, v
+	r.revision, r.observed, r.learned = v.Revision, v, time.Now()
 	return v, nil
 }
--- a/services/replicator/era_test.go
+++ b/services/replicator/era_test.go
@@ -59,7 +59,7 @@
 	is := is.New(t)
 	var c Cache
 	c.Load(inEra(2, 50, putItem("a", 40)), startTime)
-	late := startTime.Add(eraFallTime - time.Millisecond)
+	late := startTime.Add(EraFallTime - time.Millisecond)
 	for _, era := range []uint64{0, 1} { // a VM that doesn't know eras sends none
 		is.Equal(len(c.Load(inEra(era, 60, putItem("a", 55), putItem("b", 56)), late)), 0)
 		is.Equal(len(c.Apply(inEra(era, 61, putItem("a", 61)), late)), 0)
@@ -85,10 +85,10 @@
 	c.Load(inEra(1<<64-1, 60, putItem("a", 60), putItem("b", 10)), startTime)
 	is.Equal(len(c.Load(inEra(3, 62, putItem("a", 61)), startTime.Add(time.Second))), 0)
 	b := inEra(3, 62, putItem("a", 61))
-	is.Equal(len(c.Load(b, startTime.Add(eraFallTime))), 2)
+	is.Equal(len(c.Load(b, startTime.Add(EraFallTime))), 2)
 	is.Equal(c.Version(), Version{3, 62})
 	is.True(c.Item("b").Removed)
-	is.Equal(len(c.Apply(inEra(3, 63, putItem("b", 63)), startTime.Add(eraFallTime))), 1)
+	is.Equal(len(c.Apply(inEra(3, 63, putItem("b", 63)), startTime.Add(EraFallTime))), 1)
 }
 
 // TestFollowersReadSnapshotInNewEra guards against followers whose cursor, ahead of a restored copy, hides all changes
--- a/services/replicator/replicator.go
+++ b/services/replicator/replicator.go
@@ -73,10 +73,10 @@
 // maxRemoved is the maximum number of removed keys that are remembered.
 const maxRemoved = 8192
 
-// eraFallTime is the time by which a snapshot of a lower era must be fresher than the copy to replace it. It is longer
-// than any read of the store and any time for which a VM with a stale copy is followed, so that a late reply never
-// does. The store reports a lower era only by mistake, which must not hide its data for good.
-const eraFallTime = 5 * time.Second
+// EraFallTime is the time by which what is known of a lower era must be fresher than what is known of the higher one to
+// replace it. It is longer than any read of the store and any time for which a VM with a stale copy is followed, so
+// that a late reply never does. Eras fall only by mistake, which must not hide the data of the store for good.
+const EraFallTime = 5 * time.Second
 
 // Cache is a copy of the store. The zero value is ready for use and safe for concurrent use.
 type Cache struct {
@@ -158,7 +158,7 @@
 // hasFallen reports whether the store has gone on to report the lower era of b since it last reported that of the
 // copy. It must be called with the lock held.
 func (c *Cache) hasFallen(b Batch, now time.Time) bool {
-	return b.Era < c.version.Era && now.Add(-b.Age).Sub(c.syncedAt) >= eraFallTime
+	return b.Era < c.version.Era && now.Add(-b.Age).Sub(c.syncedAt) >= EraFallTime
 }
 
 // Apply applies changes and returns those that are new. It does nothing before the first snapshot, and with
