Changes of the store reach the view in the order in which they reach the copy

Callers could see a replica's earlier entry or an earlier evacuation in use again until its next change; not seen outside the test.

Cause: the copy of the store and the view were changed under two locks, and the other watcher could pass between them with a later change, also of a later era.

Change: the follower's lock is held over both.

--- a/modules/quarantiner/quarantiner.go
+++ b/modules/quarantiner/quarantiner.go
@@ -53,7 +53,7 @@
 	// Began is the time at which the run began. It is not after At; zero means At.
 	Began time.Time
 	At    time.Time
-	// Inexact is true if the loss may have happened at any time before At, by as much as all its times.
+	// Inexact is true if the loss may have happened at any time before At. All its times are then earlier by as much.
 	Inexact bool
 	// Answered is the last time up to At at which the software is known to have replied to the request,
 	// and GroupAnswered that for any request of the group. They are zero if there is none.
--- a/modules/quarantiner/record.go
+++ b/modules/quarantiner/record.go
@@ -22,7 +22,7 @@
 	running bool
 }
 
-// find returns the index of a loss of the same server that may be l, whose time is known up to window, or -1.
+// find returns the index of a loss of the same server that may be the same as l, or -1. Exact times are known up to window.
 func (rec *record) find(l Loss, window time.Duration) int {
 	return slices.IndexFunc(rec.losses, func(k knownLoss) bool {
 		later := l.At.Sub(k.At)
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -64,6 +64,8 @@
 	sources sourceStates
 	state   atomic.Pointer[forwarder.State]
 
+	// mu is held while the copy and the view change, so that all changes reach the view in the order in which
+	// they reach the copy.
 	mu       sync.Mutex
 	table    *router.Table
 	registry registrar.Registry
@@ -102,6 +104,8 @@
 
 // Load applies a snapshot of the store.
 func (f *Follower) Load(b replicator.Batch, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	synced, before, gone := f.Cache.SyncedAt(), f.Cache.Version(), f.Cache.Removed()
 	changes := f.Cache.Load(b, now)
 	after := f.Cache.Version()
@@ -113,8 +117,6 @@
 		"event": "store-era", "era": after.Era, "revision": after.Revision, "before-era": before.Era, "before-revision": before.Revision,
 		"changes": len(changes),
 	}).Warn("the store has come back from an older copy")
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	// What the copy lacks is missing from now on, not from when it was last read.
 	f.applyRestored(changes, gone, f.Cache.SyncedAt(), now)
 	f.sweep(now)
@@ -123,6 +125,8 @@
 
 // Apply applies changes of the store.
 func (f *Follower) Apply(b replicator.Batch, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	synced := f.Cache.SyncedAt()
 	f.applyChanges(f.Cache.Apply(b, now), synced, now)
 }
@@ -132,14 +136,12 @@
 // that old has failed to read the store itself, while the VM that reports the outage may only have been cut off.
 const MinOutage = replicator.StaleAfter + 800*time.Millisecond
 
-// applyChanges applies changes to a copy that was complete at the time synced.
+// applyChanges applies changes to a copy that was complete at the time synced. It must be called with the lock held.
 func (f *Follower) applyChanges(changes []replicator.Item, synced, now time.Time) {
 	if len(changes) == 0 {
 		return
 	}
 	removedAt := f.removalTime(synced)
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	for _, it := range changes {
 		f.applyItem(it, removedAt)
 	}
--- a/services/follower/follower_test.go
+++ b/services/follower/follower_test.go
@@ -88,6 +88,27 @@
 	is.Equal(f.State().VMs, 5)
 }
 
+// TestWatchersApplyInOrder guards against a view that goes back to an earlier change: one watcher has put it into the copy
+// of the store first, and applies it after the other one has applied a later change.
+func TestWatchersApplyInOrder(t *testing.T) {
+	const changes = 2000
+	f := New(testDecoder{}, discardLogger())
+	f.Load(batch(2, item("config", "4", 1), item("replica/a", "dc-1", 2)), time.Now())
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() {
+			for rev := uint64(3); rev < changes; rev++ {
+				f.Apply(batch(rev, item("replica/a", fmt.Sprint("dc-", rev), rev)), time.Now())
+				var seen uint64
+				if _, err := fmt.Sscanf(f.State().View.Services["s"][0].DataCentre, "dc-%d", &seen); err != nil || seen < rev {
+					t.Errorf("the replica is in dc-%d after change %d", seen, rev)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // TestEntryTurnsOdd guards against requests to a replica whose entry another writer has overwritten:
 // it names no replica to use, not even as a last resort, until it is sound again.
 func TestEntryTurnsOdd(t *testing.T) {
