--- a/services/replicator/era_test.go
+++ b/services/replicator/era_test.go
@@ -144,21 +144,7 @@
 		var after Cursor
 		// The store answers at once, so the copies are never stale and each batch is as old as the next.
 		now := time.Now().Add(time.Hour)
-		follow := func() {
-			ctx, cancel := context.WithCancel(context.Background())
-			cancel()
-			b, err := reader.Changes(ctx, after, time.Hour)
-			if errors.Is(err, ErrCompacted) {
-				if b, err = reader.Snapshot(ctx); err == nil {
-					follower.Load(b, now)
-				}
-			} else if err == nil {
-				follower.Apply(b, now)
-			}
-			if err == nil {
-				after = b.Cursor
-			}
-		}
+		follow := func() { after = readOnce(&reader, &follower, after, now) }
 		for range rapid.IntRange(1, 60).Draw(t, "n") {
 			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0:
--- a/services/replicator/replicator_test.go
+++ b/services/replicator/replicator_test.go
@@ -120,6 +120,24 @@
 	is.Equal(len(b.Items), 2)
 }
 
+// readOnce makes a follower read what there is at its source after a cursor, and returns its next cursor.
+func readOnce(source, follower *Cache, after Cursor, now time.Time) Cursor {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	b, err := source.Changes(ctx, after, time.Hour)
+	if errors.Is(err, ErrCompacted) {
+		if b, err = source.Snapshot(ctx); err == nil {
+			follower.Load(b, now)
+		}
+	} else if err == nil {
+		follower.Apply(b, now)
+	}
+	if err != nil {
+		return after
+	}
+	return b.Cursor
+}
+
 // TestFollowersEndAtTheSameItems generates random changes of a store, a reader that misses some of
 // them until its next snapshot, and a follower of the reader. At the end all three must hold the
 // same items.
@@ -136,21 +154,7 @@
 			}
 			return b
 		}
-		follow := func() {
-			ctx, cancel := context.WithCancel(context.Background())
-			cancel()
-			b, err := reader.Changes(ctx, after, time.Hour)
-			if errors.Is(err, ErrCompacted) {
-				if b, err = reader.Snapshot(ctx); err == nil {
-					follower.Load(b, startTime)
-				}
-			} else if err == nil {
-				follower.Apply(b, startTime)
-			}
-			if err == nil {
-				after = b.Cursor
-			}
-		}
+		follow := func() { after = readOnce(&reader, &follower, after, startTime) }
 		reader.Load(Batch{Cursor: at(0)}, time.Now().Add(time.Hour))
 		for range rapid.IntRange(1, 60).Draw(t, "n") {
 			rev++
