--- a/services/archiver/archiver_test.go
+++ b/services/archiver/archiver_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
 
 	"github.com/ebonylock/ebonylock/modules/quarantiner"
 	"github.com/ebonylock/ebonylock/services/recorder"
@@ -420,3 +421,62 @@
 		}
 	})
 }
+
+// TestRestartsChangeNoVerdict generates crashes by one request while harmless ones run beside it, replies to these, and
+// ends of all VMs. A fleet that was restarted must block the request to blame if one that goes on does, and no
+// harmless one but those that one that goes on blocks, or one that was restarted and kept nothing.
+func TestRestartsChangeNoVerdict(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		restarted, steady, forgetful := newFleet(t, 2), newFleet(t, 2), newFleet(t, 2)
+		forgetful.store.away = true
+		each := func(f func(*testFleet)) {
+			for _, fleet := range []*testFleet{restarted, steady, forgetful} {
+				f(fleet)
+			}
+		}
+		servers := 0
+		for range rapid.IntRange(1, 12).Draw(r, "steps") {
+			switch rapid.IntRange(0, 3).Draw(r, "step") {
+			case 0, 1:
+				servers++
+				beside := rapid.SliceOfDistinct(rapid.IntRange(2, 4), rapid.ID[int]).Draw(r, "beside")
+				each(func(f *testFleet) {
+					// A server crashes only if the request to blame reaches it; otherwise it replies to the others.
+					crashes := !f.blocks(1)
+					if crashes {
+						f.lose(1, fmt.Sprint("i-", servers))
+					}
+					for _, request := range beside {
+						switch harmless := quarantiner.Fingerprint(request); {
+						case f.blocks(harmless):
+						case crashes:
+							f.lose(harmless, fmt.Sprint("i-", servers))
+						default:
+							f.answer(harmless)
+						}
+					}
+				})
+			case 2:
+				request := quarantiner.Fingerprint(rapid.IntRange(2, 4).Draw(r, "answered"))
+				each(func(f *testFleet) { f.answer(request) })
+			case 3:
+				restarted.restart(2)
+				forgetful.restart(2)
+			}
+			each(func(f *testFleet) { f.tick(clearDelay + writeInterval + time.Second) })
+			if steady.blocks(1) && !restarted.blocks(1) {
+				r.Fatal("the request to blame is not blocked")
+			}
+			for request := quarantiner.Fingerprint(2); request <= 4; request++ {
+				if restarted.blocks(request) && !steady.blocks(request) && !forgetful.blocks(request) {
+					r.Fatalf("harmless request %d is blocked", request)
+				}
+			}
+		}
+	})
+}
+
+// blocks reports whether the VMs block a request.
+func (f *testFleet) blocks(request quarantiner.Fingerprint) bool {
+	return f.vms[0].tracker.Verdict(request, software, f.now) == quarantiner.Blocked
+}
