A second return of the store drops no deferred change

Change: what is deferred stays until its time or a change of its key.

Measured: TestSecondReturnKeepsDeferredChanges fails before (the zone is in use for good) and passes after; services/follower passes with -race.

--- a/services/follower/restored.go
+++ b/services/follower/restored.go
@@ -29,7 +29,10 @@
 // later word counts for a time: evacuations stay as they are, and a server that was draining or gone gets no requests.
 // It must be called with the lock held.
 func (f *Follower) applyRestored(changes []replicator.Item, gone map[string]bool, restoredAt, now time.Time) {
-	f.deferred = make(map[string]deferral)
+	if f.deferred == nil {
+		// What is deferred since an earlier return still counts then, if this one doesn't change it.
+		f.deferred = make(map[string]deferral)
+	}
 	for _, it := range changes {
 		kind, name := f.decoder.ParseKey(it.Key)
 		switch {
--- a/services/follower/restored_test.go
+++ b/services/follower/restored_test.go
@@ -67,6 +67,26 @@
 	}
 }
 
+// TestSecondReturnKeepsDeferredChanges guards against an evacuation that never counts, since the store came back a second
+// time, with the same word, while the change was deferred.
+func TestSecondReturnKeepsDeferredChanges(t *testing.T) {
+	is := is.New(t)
+	f, now := New(testDecoder{}, discardLogger()), time.Now()
+	entries := []replicator.Item{item("config", "4", 1), item("replica/a", "dc-1", 2)}
+	f.Load(batch(60, entries...), now)
+	evacuated := append(entries, item("out/dc-1", "{}", 3))
+	f.Load(restoredBatch(50, evacuated...), now)
+	again := restoredBatch(50, evacuated...)
+	again.Era = 2
+	for i := range again.Items {
+		again.Items[i].Era = 2
+	}
+	f.Load(again, now.Add(time.Second))
+	is.Equal(len(f.State().View.Services["s"]), 1)
+	f.expire(now.Add(2 * rewriteTime))
+	is.Equal(len(f.State().View.Services["s"]), 0)
+}
+
 // TestRestoredEntriesOfLeftServers guards against requests to a server that had left or was draining, whose entry is back
 // in the copy from which the store has come back; and against a server that gets none for good.
 func TestRestoredEntriesOfLeftServers(t *testing.T) {
