--- a/services/enroller/enroller_test.go
+++ b/services/enroller/enroller_test.go
@@ -60,6 +60,16 @@
 	return &Enroller{Recorder: &recorder.Recorder{Store: s, Key: "k"}, Log: log}
 }
 
+// writeFor15s lets a VM of a fleet of 60 check the record each second, for longer than a write may be delayed. It returns
+// the time after that.
+func writeFor15s(e *Enroller, now time.Time) time.Time {
+	for range 15 {
+		e.WriteIfStale(context.Background(), newMembers(60), now)
+		now = now.Add(time.Second)
+	}
+	return now
+}
+
 // TestRecordOutlivesTheFleet guards against VMs that don't know the size of the fleet after all of
 // them have restarted at once. The record that one of them wrote before must tell them.
 func TestRecordOutlivesTheFleet(t *testing.T) {
@@ -141,12 +151,7 @@
 			is := is.New(t)
 			s := &fakeStore{}
 			e, now := newEnroller(s), time.Now()
-			write := func() {
-				for range 15 {
-					e.WriteIfStale(context.Background(), newMembers(60), now)
-					now = now.Add(time.Second)
-				}
-			}
+			write := func() { now = writeFor15s(e, now) }
 			write()
 			is.Equal(s.writes, 1)
 			s.value, s.revision = value, s.revision+1
@@ -173,12 +178,7 @@
 	is := is.New(t)
 	s := &fakeStore{era: 1, last: 60}
 	e, now := newEnroller(s), time.Now()
-	write := func() {
-		for range 15 {
-			e.WriteIfStale(context.Background(), newMembers(60), now)
-			now = now.Add(time.Second)
-		}
-	}
+	write := func() { now = writeFor15s(e, now) }
 	write()
 	is.Equal(s.writes, 1)
 	s.era, s.last, s.revision = 2, 40, 0
